--- a/src/bin/micashift-benchlink/instance.rs
+++ b/src/bin/orchidyoke-sim/instance.rs
@@ -1,9 +1,9 @@
 //! One instance on the wire: its controller, and the names behind the numbers that the controller uses.
 
 use crate::fields::{Fields, Problem};
-use crate::options::{self, Names};
-use micashift::Controller;
-use micashift::interface::{Action, Answer, Entry, Event, ListForm, Listed, Outcome};
+use orchidyoke::Controller;
+use orchidyoke::interface::{Action, Answer, Entry, Event, ListForm, Listed, Outcome};
+use orchidyoke::settings::{self, Names};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
 
@@ -126,7 +126,7 @@
         let seed: u64 = fields.whole("nonce64")?;
         let text = fields.text("options")?;
         let (settings, names) =
-            options::read(text).map_err(|e| Problem::new("options", &format!("invalid settings: {e}")))?;
+            settings::read(text).map_err(|e| Problem::new("options", &format!("invalid settings: {e}")))?;
         Ok(Instance {
             controller: Controller::new(settings, seed),
             names,
--- a/src/bin/micashift-benchlink/main.rs
+++ b/src/bin/orchidyoke-sim/main.rs
@@ -2,7 +2,6 @@
 
 mod fields;
 mod instance;
-mod options;
 
 use fields::{Fields, Problem};
 use instance::{Instance, ListedTarget};
@@ -118,7 +117,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("micashift-benchlink: {problem}");
+            eprintln!("orchidyoke-sim: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,4 @@
-//! All decisions of micashift. Its types, events, actions and settings are in `src/interface.rs`.
+//! All decisions of orchidyoke. Its types, events, actions and settings are in `src/interface.rs`.
 //!
 //! The ordinary path is the paper's adaptive window (`docs/design.md`): each route has a window on calls in
 //! flight, grown by a clean first try, halved by any push-back. The rest keeps the rules.
@@ -282,6 +282,8 @@
     timer_at: Micros,
     ask_at: Micros,
     ask_failures: u32,
+    /// When the forwarder stops, once that is known.
+    closes_at: Option<Micros>,
 }
 
 impl Controller {
@@ -332,6 +334,13 @@
                 self.messages.insert(*id, message);
                 self.enqueue(*id);
             }
+            Event::History { id, attempts, may_have_run } => {
+                let Some(message) = self.messages.get_mut(id) else { return };
+                (message.attempts, message.first_try) = (*attempts, *attempts == 0 && message.first_try);
+                message.may_have_run = may_have_run.map(|(ago, endpoint)| (self.now - ago, endpoint));
+                self.unsettled.push(*id);
+            }
+            Event::Closing { time_left } => self.closes_at = Some(self.now + *time_left),
             Event::Hangup { id } => self.forget(*id),
             Event::Outcome(answer) => {
                 self.take_outcome(answer);
@@ -545,11 +554,9 @@
         call.open -= 1;
         let (done, clean, overdue) = (call.open == 0, call.clean, call.overdue);
         let first = !std::mem::replace(&mut call.judged, true);
-        if outcome == Outcome::Full {
-            // Rule of waits: told to wait, nothing goes to this route; each message of a call may tell.
-            let wait_until = &mut self.routes[call.route].wait_until;
-            *wait_until = (*wait_until).max(self.now + answer.wait.clamp(0, LONGEST));
-        }
+        // Rule of waits: told to wait, nothing goes to this route; each message of a call may tell.
+        let wait_until = &mut self.routes[call.route].wait_until;
+        *wait_until = (*wait_until).max(self.now + answer.wait.clamp(0, LONGEST));
         if first && outcome != Outcome::Moot {
             self.judge(endpoint, sent, answer, clean, overdue);
         }
@@ -762,7 +769,9 @@
         let half = ((self.set.slots as f64 * SICK_CAP) as usize).max(1);
         let cap = if route.sick() { half } else { ((self.set.slots as f64 * CAP) as usize).max(1) };
         let held = || self.routes.iter().filter(|r| r.sick()).map(|r| r.in_flight).sum::<usize>();
-        let full = destination.in_flight >= cap || (route.sick() && held() >= half);
+        // A call still out when the forwarder stops may have run: an unsafe message would be lost with it.
+        let late = self.closes_at.is_some_and(|at| self.now + route.overdue_after() > at);
+        let full = late || destination.in_flight >= cap || (route.sick() && held() >= half);
         if full || self.opens_at(id) > self.now {
             return false;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -242,7 +242,7 @@
     pub took: Micros,
     /// The message is over.
     pub finished: bool,
-    /// Told to wait this long; 0: nothing told.
+    /// Told to wait this long, whatever the outcome; 0: nothing told.
     pub wait: Micros,
     /// Reported limit in calls a second, if any.
     pub limit: Option<f64>,
@@ -270,6 +270,20 @@
         /// The client marked it as a repeat.
         repeat: bool,
     },
+    /// What became of a message before a restart; comes right after its [`Event::Message`].
+    History {
+        /// Its number.
+        id: MessageId,
+        /// Attempts used up.
+        attempts: u32,
+        /// The first attempt that may have run: how long ago, and where to.
+        may_have_run: Option<(Micros, EndpointId)>,
+    },
+    /// The forwarder stops: what cannot end by then is not begun.
+    Closing {
+        /// How long it still runs.
+        time_left: Micros,
+    },
     /// Nobody wants this message any more.
     Hangup {
         /// Its number.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! The forwarder's program.
+
+fn main() -> std::process::ExitCode {
+    orchidyoke::node::cli::run()
+}
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,115 @@
+//! The configuration: what the platform tells a forwarder at its start.
+
+use super::transport_map::News;
+use crate::interface::Settings;
+use crate::settings::{self, Names};
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The file as it is written.
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    known: News,
+    settings: Box<serde_json::value::RawValue>,
+}
+
+/// What the machine allows.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// File descriptors at once.
+    pub sockets: usize,
+    /// Size of the folder that lasts, in MB (2^20 bytes).
+    pub disk_mb: f64,
+}
+
+/// Why the configuration cannot be used, in one line.
+#[derive(Debug)]
+pub struct ConfigError(String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// A configuration that has been read and checked.
+pub struct Config {
+    /// The forwarder's name.
+    pub name: String,
+    /// Where the sender side connects.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed of the module's chance.
+    pub seed: u64,
+    /// What the machine allows.
+    pub limits: Limits,
+    /// The transport map as last held.
+    pub known: News,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names behind the numbers of the settings.
+    pub names: Names,
+}
+
+fn address(what: &str, given: Option<&str>, file: Option<String>) -> Result<SocketAddr, ConfigError> {
+    let text = given.map(str::to_owned).or(file);
+    let text = text.ok_or_else(|| ConfigError(format!("{what}: no address is given")))?;
+    text.parse().map_err(|_| ConfigError(format!("{what}: not an address and port: {text}")))
+}
+
+impl Config {
+    /// Reads a file; addresses given apart from it come first.
+    pub fn load(path: &Path, listen: Option<&str>, discovery: Option<&str>) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path);
+        let text = text.map_err(|e| ConfigError(format!("{}: {e}", path.display())))?;
+        Config::read(&text, listen, discovery).map_err(|e| ConfigError(format!("{}: {e}", path.display())))
+    }
+
+    /// Reads the text of a configuration.
+    pub fn read(text: &str, listen: Option<&str>, discovery: Option<&str>) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let (settings, names) =
+            settings::read(file.settings.get()).map_err(|e| ConfigError(format!("settings: {e}")))?;
+        for (what, missing) in [
+            ("classes", settings.classes.is_empty()),
+            ("host_types", settings.kinds.is_empty()),
+            ("family_info.slots", settings.slots == 0),
+            ("limits.dial_timeout_us", settings.connect_timeout <= 0),
+            ("limits.idle_close_us", settings.idle_close <= 0),
+        ] {
+            if missing {
+                return Err(ConfigError(format!("settings: {what}: missing or nothing in it")));
+            }
+        }
+        if file.limits.sockets < 64 {
+            return Err(ConfigError("limits: sockets: 64 is the least to work with".to_owned()));
+        }
+        if file.limits.disk_mb.is_nan() || file.limits.disk_mb <= 0.0 {
+            return Err(ConfigError("limits: disk_mb: must be above 0".to_owned()));
+        }
+        let seed = u64::from_str_radix(&file.seed, 16);
+        let seed = seed.map_err(|_| ConfigError(format!("seed: not hex digits: {:?}", file.seed)))?;
+        Ok(Config {
+            name: file.name,
+            listen: address("listen", listen, file.listen)?,
+            discovery: address("discovery", discovery, file.discovery)?,
+            seed,
+            limits: file.limits,
+            known: file.known,
+            settings,
+            names,
+        })
+    }
+}
--- /dev/null
+++ b/src/node/journal.rs
@@ -0,0 +1,325 @@
+//! The journal: what must outlast the process. Records and their bytes, the file they are in, and its space.
+//!
+//! A record is framed by its length and a checksum, so that a tail torn by a kill is told from a whole one. The
+//! file is rewritten with only what still counts when it has grown; old and new together keep to the limit.
+
+use super::transport_map::News;
+use crate::interface::Micros;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// Bytes before a record's content: its length and its checksum.
+const FRAME: usize = 8;
+/// Kept free of the folder's limit: files count in whole blocks, and folders may count too.
+const SLACK: usize = 16 << 10;
+/// Part of the limit that what still counts may take up, so that a rewritten file has room to grow.
+const LIVE_SHARE: f64 = 0.42;
+
+/// How a message ended without delivery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// Given up, with no promise.
+    Failed,
+    /// Deferred: it may be handed in again, after so many milliseconds.
+    Returned {
+        /// When to come back.
+        after_ms: i64,
+    },
+}
+
+/// A delivery attempt that may have run: when it began, and at which endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Trace {
+    /// When it began.
+    pub at: Micros,
+    /// The endpoint's uid.
+    pub uid: String,
+}
+
+/// A message, as far as what comes later depends on it. Its body stands apart.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Taken {
+    /// Its id.
+    pub txn: String,
+    /// Name of its class.
+    pub class: String,
+    /// Its tenant.
+    pub org: String,
+    /// Its destination.
+    pub dest: u64,
+    /// When its time is up.
+    pub deadline: Micros,
+    /// Attempts used.
+    pub attempts: u32,
+    /// The first attempt that may have run.
+    pub ran: Option<Trace>,
+    /// The attempt that is out.
+    pub out: Option<Trace>,
+}
+
+/// What the journal holds. Times are Unix time in microseconds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "is", rename_all = "snake_case")]
+pub enum Record {
+    /// A message was taken on.
+    Taken(Taken),
+    /// A call is about to be written.
+    Begun {
+        /// The messages in it.
+        txns: Vec<String>,
+        /// When and where.
+        trace: Trace,
+    },
+    /// The attempt that was out has ended and may have run.
+    Ran {
+        /// The message.
+        txn: String,
+    },
+    /// The attempt that was out never ran.
+    Unseen {
+        /// The message.
+        txn: String,
+    },
+    /// An attempt was used up with nothing written.
+    Missed {
+        /// The message.
+        txn: String,
+    },
+    /// The final answer is decided, and its notice still owed.
+    Owed {
+        /// The message.
+        txn: String,
+        /// When.
+        at: Micros,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// Nothing more is owed.
+    Over {
+        /// The message.
+        txn: String,
+        /// When.
+        at: Micros,
+    },
+    /// News of the transport map.
+    Map(News),
+}
+
+/// Records with the bodies of those that have one, in the order of the file.
+pub type Entries = Vec<(Record, Bytes)>;
+
+impl Record {
+    /// The framed bytes of this record; only [`Record::Taken`] has a body.
+    pub fn encode(&self, body: &[u8], into: &mut BytesMut) {
+        let start = into.len();
+        into.put_bytes(0, FRAME + 4);
+        let Ok(()) = serde_json::to_writer(into.writer(), self) else {
+            unreachable!("records hold nothing that JSON cannot")
+        };
+        let head = into.len() - start - FRAME - 4;
+        into.extend_from_slice(body);
+        let content = into.len() - start - FRAME;
+        into[start + FRAME..start + FRAME + 4].copy_from_slice(&(head as u32).to_le_bytes());
+        let sum = crc32fast::hash(&into[start + FRAME..]);
+        into[start..start + 4].copy_from_slice(&(content as u32).to_le_bytes());
+        into[start + 4..start + 8].copy_from_slice(&sum.to_le_bytes());
+    }
+
+    fn decode(mut content: Bytes) -> Option<(Record, Bytes)> {
+        let head = content.try_get_u32_le().ok()? as usize;
+        if head > content.len() {
+            return None;
+        }
+        let text = content.split_to(head);
+        Some((serde_json::from_slice(&text).ok()?, content))
+    }
+}
+
+/// The records of a file up to the first that is not whole, and the bytes that they take up.
+pub fn replay(mut file: Bytes) -> (Entries, usize) {
+    let (mut records, whole) = (Vec::new(), file.len());
+    loop {
+        let left = file.len();
+        let mut rest = file.clone();
+        let (Ok(length), Ok(sum)) = (rest.try_get_u32_le(), rest.try_get_u32_le()) else {
+            return (records, whole - left);
+        };
+        if length as usize > rest.len() {
+            return (records, whole - left);
+        }
+        let content = rest.split_to(length as usize);
+        let Some(record) = (crc32fast::hash(&content) == sum).then(|| Record::decode(content)).flatten()
+        else {
+            return (records, whole - left);
+        };
+        records.push(record);
+        file = rest;
+    }
+}
+
+/// What the folder may hold and what is in it. It decides; [`Journal`] writes.
+#[derive(Debug)]
+pub struct Space {
+    limit: usize,
+    file: usize,
+}
+
+impl Space {
+    /// A folder of so many bytes, with a journal of `file` bytes in it.
+    pub fn new(limit: usize, file: usize) -> Self {
+        Space { limit, file }
+    }
+
+    /// Whether a message whose record takes up `cost` may still be taken on beside what counts already.
+    pub fn admits(&self, live: usize, cost: usize) -> bool {
+        ((live + cost) as f64) < self.limit as f64 * LIVE_SHARE
+    }
+
+    /// Whether the file has to be rewritten before `more` bytes go in: later there would be no room for both.
+    pub fn is_short(&self, live: usize, more: usize) -> bool {
+        self.file + more + live + more + SLACK > self.limit
+    }
+
+    /// So many bytes went in.
+    pub fn grew(&mut self, by: usize) {
+        self.file += by;
+    }
+
+    /// So many bytes are in the file.
+    pub fn holds(&mut self, size: usize) {
+        self.file = size;
+    }
+}
+
+/// The file itself.
+pub struct Journal {
+    path: PathBuf,
+    spare: PathBuf,
+    file: File,
+}
+
+impl Journal {
+    /// Opens the journal of a folder, cuts off a torn tail, and gives what is in it.
+    pub fn open(folder: &Path) -> io::Result<(Self, Entries, usize)> {
+        let (path, spare) = (folder.join("journal"), folder.join("journal.new"));
+        // A rewrite that a kill cut short: the journal itself is still whole.
+        match fs::remove_file(&spare) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+            _ => {}
+        }
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        let (records, whole) = replay(fs::read(&path)?.into());
+        file.set_len(whole as u64)?;
+        Ok((Journal { path, spare, file }, records, whole))
+    }
+
+    /// Bytes in the file.
+    pub fn size(&self) -> io::Result<usize> {
+        Ok(self.file.metadata()?.len() as usize)
+    }
+
+    /// Appends bytes; if that fails, what was there stays whole.
+    pub fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let before = self.file.metadata()?.len();
+        self.file.write_all(bytes).inspect_err(|_| {
+            // Half a record would hide all that follow it.
+            let _ = self.file.set_len(before);
+        })
+    }
+
+    /// Puts these bytes in the place of all that is there.
+    pub fn rewrite(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let written = fs::write(&self.spare, bytes).and_then(|()| fs::rename(&self.spare, &self.path));
+        written.inspect_err(|_| {
+            let _ = fs::remove_file(&self.spare);
+        })?;
+        self.file = OpenOptions::new().append(true).open(&self.path)?;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn taken(txn: &str) -> Record {
+        let (class, org) = ("status".to_owned(), "acme".to_owned());
+        let trace = Some(Trace { at: 5, uid: "s".to_owned() });
+        Record::Taken(Taken {
+            txn: txn.to_owned(),
+            class,
+            org,
+            dest: 3,
+            deadline: 9,
+            attempts: 2,
+            ran: None,
+            out: trace,
+        })
+    }
+
+    // Guards against a kill in the middle of a write: what was whole before it must be read, the rest not.
+    #[test]
+    fn a_torn_tail_hides_nothing_before_it() {
+        let mut bytes = BytesMut::new();
+        taken("a").encode(b"\0any\xffbytes", &mut bytes);
+        let first = bytes.len();
+        Record::Over { txn: "a".to_owned(), at: 7 }.encode(b"", &mut bytes);
+        for cut in 0..bytes.len() {
+            let (records, whole) = replay(Bytes::copy_from_slice(&bytes[..cut]));
+            assert_eq!((records.len(), whole), if cut < first { (0, 0) } else { (1, first) }, "cut at {cut}");
+        }
+        let (records, _) = replay(bytes.clone().freeze());
+        assert_eq!(records[0], (taken("a"), Bytes::from_static(b"\0any\xffbytes")));
+        bytes[first + FRAME + 6] ^= 1;
+        assert_eq!(replay(bytes.freeze()).0.len(), 1, "a damaged record is not believed");
+    }
+
+    // Guards against a folder over its limit: at no time may old file and new one together pass it.
+    #[test]
+    fn old_and_new_file_together_keep_to_the_limit() {
+        let limit = 1 << 20;
+        let mut space = Space::new(limit, 0);
+        let mut sizes = Vec::new();
+        for turn in 0..2000usize {
+            let cost = 100 + turn * 7919 % 60_000;
+            let live: usize = sizes.iter().sum();
+            if space.admits(live, cost) {
+                if space.is_short(live, cost) {
+                    assert!(space.file + live + SLACK <= limit, "turn {turn}");
+                    space.holds(live);
+                }
+                space.grew(cost);
+                sizes.push(cost);
+            } else {
+                sizes.remove(turn % sizes.len());
+            }
+            assert!(space.file + SLACK <= limit, "turn {turn}");
+        }
+    }
+
+    // Guards against a rewrite that loses appends: those after it must go to the new file.
+    #[test]
+    fn appends_follow_a_rewrite_into_the_new_file() {
+        let folder = std::env::temp_dir().join(format!("orchidyoke-journal-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let bytes = |txn: &str| {
+            let mut bytes = BytesMut::new();
+            taken(txn).encode(b"x", &mut bytes);
+            bytes
+        };
+        let (mut journal, _, _) = Journal::open(&folder).expect("opens");
+        journal.append(&bytes("a")).expect("appends");
+        journal.rewrite(&bytes("b")).expect("rewrites");
+        journal.append(&bytes("c")).expect("appends");
+        fs::write(folder.join("journal.new"), b"half").expect("writes");
+        let (_, records, whole) = Journal::open(&folder).expect("opens");
+        assert_eq!(whole, 2 * bytes("b").len());
+        assert_eq!(records.iter().map(|r| &r.0).collect::<Vec<_>>(), [&taken("b"), &taken("c")]);
+        assert!(!folder.join("journal.new").exists());
+        fs::remove_dir_all(&folder).expect("cleans up");
+    }
+}
--- /dev/null
+++ b/src/node/pool.rs
@@ -0,0 +1,220 @@
+//! Connections to next hops, as states: which may carry a call, which are to be closed. No socket is here.
+
+use crate::interface::{EndpointId, Micros};
+use std::collections::BTreeMap;
+
+/// A connection, numbered anew each time.
+pub type LinkId = u64;
+/// A call, numbered anew each time.
+pub type CallId = u64;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Not yet up; this call waits for it.
+    Dialling(CallId),
+    /// Up, and free since then.
+    Idle(Micros),
+    /// This call has it: about to be written, or written.
+    Busy(CallId),
+}
+
+/// All connections to next hops.
+#[derive(Debug)]
+pub struct Pool {
+    links: BTreeMap<LinkId, (EndpointId, State)>,
+    next: LinkId,
+    /// An idle connection is not used again after this time: the other end may close it any moment.
+    keep: Micros,
+    /// Connections at once, idle ones counted.
+    most: usize,
+}
+
+/// Where a call goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// On this idle connection, at once.
+    Idle(LinkId),
+    /// On this new connection, once it is up.
+    Dial(LinkId),
+}
+
+impl Pool {
+    /// No connections yet; the other end closes idle ones after `idle_close`.
+    pub fn new(idle_close: Micros, most: usize) -> Self {
+        // A tenth early: the other end counts from when it wrote its answer, and a close needs time to arrive.
+        Pool { links: BTreeMap::new(), next: 0, keep: idle_close - idle_close / 10, most }
+    }
+
+    /// A connection for a call: the one used last, so that the others get old and close.
+    pub fn claim(&mut self, hop: EndpointId, call: CallId, now: Micros) -> Claim {
+        let fresh = |(id, (to, state)): (&LinkId, &(EndpointId, State))| match state {
+            State::Idle(since) if *to == hop && now - since < self.keep => Some((*since, *id)),
+            _ => None,
+        };
+        if let Some((_, id)) = self.links.iter().filter_map(fresh).max() {
+            self.links.insert(id, (hop, State::Busy(call)));
+            return Claim::Idle(id);
+        }
+        Claim::Dial(self.dial(hop, call))
+    }
+
+    /// A new connection for a call.
+    pub fn dial(&mut self, hop: EndpointId, call: CallId) -> LinkId {
+        self.next += 1;
+        self.links.insert(self.next, (hop, State::Dialling(call)));
+        self.next
+    }
+
+    /// A connection is up: the call that waited for it.
+    pub fn is_up(&mut self, id: LinkId) -> Option<CallId> {
+        let (_, state) = self.links.get_mut(&id)?;
+        let State::Dialling(call) = *state else { return None };
+        *state = State::Busy(call);
+        Some(call)
+    }
+
+    /// The call on a connection is over, and the connection can carry another.
+    pub fn release(&mut self, id: LinkId, now: Micros) {
+        if let Some((_, state @ State::Busy(_))) = self.links.get_mut(&id) {
+            *state = State::Idle(now);
+        }
+    }
+
+    /// A connection is gone: the call that it takes with it.
+    pub fn closed(&mut self, id: LinkId) -> Option<CallId> {
+        let call = self.call_of(id);
+        self.links.remove(&id);
+        call
+    }
+
+    /// The connection that a call has, up or not.
+    pub fn link_of(&self, call: CallId) -> Option<LinkId> {
+        let has = |state: &State| matches!(state, State::Dialling(c) | State::Busy(c) if *c == call);
+        self.links.iter().find(|(_, (_, state))| has(state)).map(|(id, _)| *id)
+    }
+
+    /// The call that a connection has.
+    pub fn call_of(&self, id: LinkId) -> Option<CallId> {
+        match self.links.get(&id)?.1 {
+            State::Dialling(call) | State::Busy(call) => Some(call),
+            State::Idle(_) => None,
+        }
+    }
+
+    /// Takes out the idle connections to an endpoint, to be closed.
+    pub fn drop_idle(&mut self, hop: EndpointId) -> Vec<LinkId> {
+        self.take_idle(|to, _| to == hop)
+    }
+
+    /// Takes out the idle connections that are too old, and the oldest where there are too many.
+    pub fn reap(&mut self, now: Micros) -> Vec<LinkId> {
+        let keep = self.keep;
+        let mut out = self.take_idle(|_, since| now - since >= keep);
+        while self.links.len() > self.most {
+            let idle = self.links.iter().filter_map(|(id, (_, state))| match state {
+                State::Idle(since) => Some((*since, *id)),
+                _ => None,
+            });
+            let Some((_, oldest)) = idle.min() else { break };
+            self.links.remove(&oldest);
+            out.push(oldest);
+        }
+        out
+    }
+
+    /// When the next idle connection gets too old.
+    pub fn reap_at(&self) -> Option<Micros> {
+        let idle = self.links.values().filter_map(|(_, state)| match state {
+            State::Idle(since) => Some(since + self.keep),
+            _ => None,
+        });
+        idle.min()
+    }
+
+    fn take_idle(&mut self, which: impl Fn(EndpointId, Micros) -> bool) -> Vec<LinkId> {
+        let gone = self.links.extract_if(.., |_, (hop, state)| match state {
+            State::Idle(since) => which(*hop, *since),
+            _ => false,
+        });
+        gone.map(|(id, _)| id).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+    use std::collections::BTreeSet;
+
+    const IDLE_CLOSE: Micros = 1000;
+
+    /// What a connection is, seen from its far end.
+    #[derive(Default)]
+    struct Model {
+        open: BTreeMap<LinkId, (EndpointId, Option<Micros>)>,
+        calls: BTreeMap<CallId, (LinkId, bool)>,
+        closed: BTreeSet<LinkId>,
+    }
+
+    quickcheck! {
+        // Guards against two calls on one connection, a call on one that is closed, about to be closed by the
+        // other end or to another endpoint, and a call forgotten with its connection.
+        fn connections_keep_to_their_states(steps: Vec<(u8, u8, u8)>) -> bool {
+            let (mut pool, mut model, mut now) = (Pool::new(IDLE_CLOSE, 6), Model::default(), 0);
+            for (number, (what, which, pause)) in steps.into_iter().enumerate() {
+                now += Micros::from(pause);
+                let (call, hop) = (number as CallId, EndpointId::from(which % 3));
+                let mine = model.calls.iter().nth(usize::from(which) % model.calls.len().max(1));
+                let mine = mine.map(|(call, (link, up))| (*call, *link, *up));
+                match (what % 6, mine) {
+                    (0 | 1, _) => {
+                        let (link, up) = match pool.claim(hop, call, now) {
+                            Claim::Idle(link) => {
+                                let (to, since) = model.open[&link];
+                                assert_eq!(to, hop);
+                                assert!(since.is_some_and(|s| now - s < IDLE_CLOSE * 95 / 100));
+                                (link, true)
+                            }
+                            Claim::Dial(link) => {
+                                assert!(!model.open.contains_key(&link) && !model.closed.contains(&link));
+                                (link, false)
+                            }
+                        };
+                        assert!(model.calls.values().all(|(other, _)| *other != link));
+                        model.open.insert(link, (hop, None));
+                        model.calls.insert(call, (link, up));
+                    }
+                    (2, Some((call, link, up))) => {
+                        assert_eq!(pool.is_up(link), (!up).then_some(call));
+                        model.calls.insert(call, (link, true));
+                    }
+                    (3, Some((call, link, true))) => {
+                        assert_eq!(pool.link_of(call), Some(link));
+                        pool.release(link, now);
+                        model.calls.remove(&call);
+                        model.open.get_mut(&link).expect("open").1 = Some(now);
+                    }
+                    (4, Some((call, link, _))) => {
+                        assert_eq!(pool.closed(link), Some(call));
+                        assert_eq!(pool.closed(link), None);
+                        model.calls.remove(&call);
+                        model.open.remove(&link);
+                        model.closed.insert(link);
+                    }
+                    (_, _) => {
+                        let gone = if what % 2 == 0 { pool.reap(now) } else { pool.drop_idle(hop) };
+                        for link in gone {
+                            assert!(model.open.remove(&link).expect("open").1.is_some(), "only idle ones");
+                            model.closed.insert(link);
+                        }
+                        let idle = model.open.values().filter(|(_, since)| since.is_some()).count();
+                        assert!(what % 2 == 1 || idle == 0 || model.open.len() <= 6);
+                    }
+                }
+                assert_eq!(pool.links.len(), model.open.len());
+            }
+            true
+        }
+    }
+}
--- /dev/null
+++ b/src/node/serve.rs
@@ -0,0 +1,179 @@
+//! The running forwarder: a clock, the reducer, and the effects that it asks for carried out on sockets and files.
+
+use super::config::Config;
+use super::front::{self, Door, Notice};
+use super::journal::Journal;
+use super::next_hop::{self, Order};
+use super::pool::LinkId;
+use super::reducer::{Effect, Input, Reducer};
+use super::shutdown::Signals;
+use super::{notices, transport_map};
+use crate::interface::Micros;
+use crate::log;
+use bytes::Bytes;
+use std::collections::{HashMap, VecDeque};
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time for the sender side's last answers to leave when the forwarder ends.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
+/// Unix time that never goes back while the process runs.
+#[derive(Clone, Copy)]
+struct Clock {
+    unix: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_micros() as Micros, start: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros((at - self.unix).max(0) as u64)
+    }
+}
+
+/// Carries out effects.
+struct Hands {
+    clock: Clock,
+    discovery: SocketAddr,
+    journal: Journal,
+    door: Rc<Door>,
+    links: HashMap<LinkId, UnboundedSender<Order>>,
+    inputs: UnboundedSender<Input>,
+    ending: bool,
+}
+
+impl Hands {
+    /// Carries out one effect; what is known at once comes back as an input.
+    fn carry_out(&mut self, effect: Effect) -> Option<Input> {
+        match effect {
+            Effect::Answer { ticket, answer } => self.door.answer(ticket, answer),
+            Effect::Append { receipt, bytes } => {
+                let stored = self.journal.append(&bytes).inspect_err(|e| log!("journal: {e}")).is_ok();
+                let size = self.journal.size().unwrap_or(usize::MAX / 4);
+                return Some(Input::Appended { receipt, stored, size });
+            }
+            Effect::Rewrite { bytes } => self.rewrite(&bytes),
+            Effect::Dial { link, address, until } => {
+                let (sender, orders) = unbounded_channel();
+                self.links.insert(link, sender);
+                let until = self.clock.instant(until);
+                spawn_local(next_hop::run(link, address, until, orders, self.inputs.clone()));
+            }
+            Effect::Write { link, call } => {
+                let due = self.clock.instant(call.due);
+                if let Some(orders) = self.links.get(&link) {
+                    // A connection that has closed meanwhile reports that itself.
+                    let _ = orders.send((call, due));
+                }
+            }
+            Effect::Close { link } => {
+                self.links.remove(&link);
+            }
+            Effect::Post { notices } => {
+                spawn_local(notices::post(self.discovery, notices, self.inputs.clone()));
+            }
+            Effect::Follow { since } => {
+                spawn_local(transport_map::follow(self.discovery, since, self.inputs.clone()));
+            }
+            Effect::Exit => self.ending = true,
+        }
+        None
+    }
+
+    fn rewrite(&mut self, bytes: &Bytes) {
+        if let Err(error) = self.journal.rewrite(bytes) {
+            log!("journal: it could not be rewritten: {error}");
+        }
+    }
+
+    fn take(&mut self, reducer: &mut Reducer, input: Input) {
+        if let Input::LinkClosed { link, error } = &input
+            && self.links.remove(link).is_some()
+            && !error.given_up()
+        {
+            log!("next hop: {error}");
+        }
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            for effect in reducer.step(self.clock.now(), input) {
+                inputs.extend(self.carry_out(effect));
+            }
+        }
+    }
+}
+
+/// Serves until the process is told to end.
+pub fn serve(config: Config, state: &Path) -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(LocalSet::new().run_until(run(config, state)))
+}
+
+async fn run(config: Config, state: &Path) -> Result<(), Box<dyn Error>> {
+    let signals = Signals::listen()?;
+    let clock = Clock::start();
+    let (inputs, mut came) = unbounded_channel();
+    let opened = Journal::open(state);
+    let (journal, records, size) = opened.map_err(|e| format!("{}: {e}", state.display()))?;
+    let (listen, discovery) = (config.listen, config.discovery);
+    let most_clients = config.limits.sockets / 2;
+    log!("{} starts: {} records in its journal", config.name, records.len());
+    let mut reducer = Reducer::new(config, records, size, clock.now());
+    let door = Door::new(inputs.clone());
+    let (notices, _) = watch::channel(Notice::Open);
+    let notices = Rc::new(notices);
+    let (links, ending) = (HashMap::new(), false);
+    let mut hands =
+        Hands { clock, discovery, journal, door: door.clone(), links, inputs: inputs.clone(), ending };
+    // What was left over is decided on before anyone is told that the forwarder is ready.
+    hands.take(&mut reducer, Input::Alarm);
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    spawn_local(front::listen(listener, door, most_clients, notices.clone()));
+    spawn_local(signals.report(inputs));
+    while !hands.ending {
+        step(&mut hands, &mut reducer, &mut came).await;
+    }
+    notices.send_replace(Notice::Ending);
+    sleep(LAST_ANSWERS).await;
+    log!("ends");
+    Ok(())
+}
+
+/// Waits for what comes next, takes in all that is there, and lets the reducer decide when its time has come.
+async fn step(hands: &mut Hands, reducer: &mut Reducer, came: &mut UnboundedReceiver<Input>) {
+    let clock = hands.clock;
+    let alarm = reducer.wake_at();
+    let wait = async {
+        match alarm {
+            Some(at) => sleep_until(clock.instant(at)).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        Some(input) = came.recv() => hands.take(reducer, input),
+        () = wait => {}
+    }
+    while let Ok(input) = came.try_recv() {
+        hands.take(reducer, input);
+    }
+    if reducer.wake_at().is_some_and(|at| at <= clock.now()) {
+        hands.take(reducer, Input::Alarm);
+    }
+}
--- /dev/null
+++ b/src/node/shutdown.rs
@@ -0,0 +1,32 @@
+//! The stop: SIGTERM (or an interrupt from a terminal) becomes an input like any other.
+
+use super::reducer::Input;
+use std::io;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// The signals that ask for a stop, listened for from here on.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over from the system's default, which would end the process at once.
+    pub fn listen() -> io::Result<Self> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Reports the first of them.
+    pub async fn report(mut self, inputs: UnboundedSender<Input>) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+        // The receiver is gone only when the forwarder ends.
+        let _ = inputs.send(Input::Terminate);
+    }
+}
--- a/src/bin/micashift-benchlink/options.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
-//! The settings JSON of the wire, read into the library's settings.
+//! The settings JSON, as the simulator and the platform both give it, read into the module's settings.
 
-use micashift::interface::{Class, Decay, Directory, Effect, Group, Kind, Settings, Weights};
+use crate::interface::{Class, Decay, Directory, Effect, Group, Kind, Settings, Weights};
 use serde::Deserialize;
 
 #[derive(Deserialize, Default)]
@@ -102,9 +102,13 @@
 /// The names behind the numbers of the settings.
 #[derive(Default)]
 pub struct Names {
+    /// Classes of messages.
     pub classes: Vec<String>,
+    /// Tenants.
     pub tenants: Vec<String>,
+    /// Kinds of destinations.
     pub kinds: Vec<String>,
+    /// Zones.
     pub zones: Vec<String>,
 }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1,7 +1,7 @@
 //! Tests of the decision module, through its interface alone. Clock and events are made up; nothing is modelled.
 
-use micashift::Controller;
-use micashift::interface::*;
+use orchidyoke::Controller;
+use orchidyoke::interface::*;
 
 const MS: Micros = 1000;
 const S: Micros = 1_000_000;
