Test the program itself across kills, stops, repeats and bad input

Seen: nothing wrong; until now only the reducer had been checked over a restart, not the file, the signals and the sockets. Five tests start the program on ports that the system picks, with far ends of a few lines. Checked: an order that is out at SIGKILL ends as failed and is not sent again, a status goes out again with its bytes, an id handed in twice is one message also across a restart, SIGTERM ends with exit code 0 while clients are still served, bad requests and bad configurations get one plain line. The program now logs the address that it listens on.

--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -144,6 +144,7 @@
     // What was left over is decided on before anyone is told that the forwarder is ready.
     hands.take(&mut reducer, Input::Alarm);
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    log!("listens on {}", listener.local_addr()?);
     spawn_local(front::listen(listener, door, most_clients, notices.clone()));
     spawn_local(signals.report(inputs));
     while !hands.ending {
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,269 @@
+//! The program itself on loopback sockets, across kills and stops. The far ends are a few lines each; every
+//! wait is for something that has to come, with a long time-out only so that a failure ends.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Reads one request: its first line, its headers in small letters, its body. None at the end.
+fn read_request(stream: &mut BufReader<TcpStream>) -> Option<(String, String, Vec<u8>)> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => break,
+            text => lines.push(text.to_owned()),
+        }
+    }
+    let headers = lines[1..].join("\n").to_lowercase();
+    let length = headers.lines().find_map(|line| line.strip_prefix("content-length: ")).unwrap_or("0");
+    let mut body = vec![0; length.parse().ok()?];
+    stream.read_exact(&mut body).ok()?;
+    Some((lines[0].clone(), headers, body))
+}
+
+/// Serves requests on loopback: each is sent to the test, and answered with what `answer` gives; nothing leaves
+/// it unanswered on an open connection.
+fn far_end(
+    answer: impl Fn(&str) -> Option<&'static str> + Send + Sync + 'static,
+) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (sender, receiver) = channel();
+    let (answer, held) = (Arc::new(answer), Arc::new(Mutex::new(Vec::new())));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (answer, held, sender): (_, _, Sender<String>) =
+                (answer.clone(), held.clone(), sender.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+                let mut stream = stream;
+                while let Some((line, headers, body)) = read_request(&mut reader) {
+                    let _ = sender.send(format!("{line}\n{headers}\n\n{}", String::from_utf8_lossy(&body)));
+                    match answer(&line) {
+                        Some(text) if stream.write_all(text.as_bytes()).is_ok() => {}
+                        _ => return held.lock().expect("a list").push(stream),
+                    }
+                }
+            });
+        }
+    });
+    (address, receiver)
+}
+
+/// The platform: a watch that stays open without news, and notices that are accepted.
+fn platform() -> (SocketAddr, Receiver<String>) {
+    far_end(|line| match line {
+        _ if line.starts_with("POST /v1/outcomes") => Some("HTTP/1.1 204 No Content\r\n\r\n"),
+        _ => Some("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n\n\r\n"),
+    })
+}
+
+struct Forwarder {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Forwarder {
+    fn start(folder: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_orchidyoke"))
+            .args(["serve", "--config"])
+            .arg(folder.join("config.json"))
+            .arg("--state")
+            .arg(folder)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines().map_while(Result::ok);
+        let address = lines.find_map(|line| line.split_once("listens on ").map(|(_, a)| a.to_owned()));
+        let address = address.expect("it listens").parse().expect("an address");
+        thread::spawn(move || lines.for_each(drop));
+        Forwarder { child, address }
+    }
+
+    fn kill(mut self) {
+        self.child.kill().expect("running");
+        self.child.wait().expect("ended");
+    }
+
+    /// Sends one request on a connection of its own; gives the status and the whole answer.
+    fn ask(&self, request: &str, body: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.address).expect("it takes connections");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        let head =
+            format!("{request}\r\nHost: x\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all((head + body).as_bytes()).expect("written");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("answered");
+        (text.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status"), text)
+    }
+
+    fn hand_in(&self, class: &str, txn: &str) -> u16 {
+        let head = format!(
+            "POST /{class} HTTP/1.1\r\nX-Txn: {txn}\r\nX-Org: acme\r\nX-Remaining: 7.5\r\nX-Consignee: dest=2"
+        );
+        self.ask(&head, &format!("body of {txn}")).0
+    }
+}
+
+/// A folder of its own with a configuration in it: destination 2 has one endpoint, at `hop`.
+fn folder(name: &str, hop: SocketAddr, platform: SocketAddr) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("orchidyoke-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let mut targets = common::targets();
+    targets[2].endpoint = hop;
+    let text = common::config("127.0.0.1:0", &platform.to_string(), targets);
+    std::fs::write(folder.join("config.json"), text).expect("written");
+    folder
+}
+
+fn next(receiver: &Receiver<String>, word: &str) -> String {
+    loop {
+        let text = receiver.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("{word} has to come"));
+        if text.contains(word) {
+            return text;
+        }
+    }
+}
+
+// Guards against an order that takes effect twice, and against a message forgotten, when the process is killed
+// with both out: the order's end is a notice, the status goes out again as it came.
+#[test]
+fn a_kill_forgets_nothing_and_repeats_no_order() {
+    let up = Arc::new(AtomicBool::new(false));
+    let seen_up = up.clone();
+    let (hop, calls) = far_end(move |_| {
+        seen_up.load(Ordering::SeqCst).then_some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    });
+    let (platform, notices) = platform();
+    let folder = folder("kill", hop, platform);
+    let first = Forwarder::start(&folder);
+    assert_eq!(first.hand_in("orders", "order-1"), 202);
+    next(&calls, "order-1");
+    assert_eq!(first.hand_in("status", "status-1"), 202);
+    first.kill();
+    up.store(true, Ordering::SeqCst);
+    let second = Forwarder::start(&folder);
+    assert!(next(&notices, "order-1").contains(r#"{"id":"order-1","state":"failed"}"#));
+    let again = next(&calls, "status-1");
+    assert!(again.ends_with("\n\nbody of status-1"), "{again}");
+    assert_eq!(second.hand_in("orders", "order-2"), 202);
+    let then = next(&calls, "order-");
+    assert!(then.contains("order-2"), "the first order is not sent again: {then}");
+    second.kill();
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
+
+// Guards against a message sent twice because its client sent it once more, before a restart or after.
+#[test]
+fn the_same_id_is_one_message() {
+    let (hop, calls) = far_end(|_| Some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    let (platform, _notices) = platform();
+    let folder = folder("twice", hop, platform);
+    let first = Forwarder::start(&folder);
+    assert_eq!((first.hand_in("orders", "a"), first.hand_in("orders", "a")), (202, 202));
+    next(&calls, "x-txn: a");
+    first.kill();
+    let second = Forwarder::start(&folder);
+    assert_eq!((second.hand_in("orders", "a"), second.hand_in("status", "b")), (202, 202));
+    assert!(next(&calls, "x-txn: ").contains("x-txn: b"));
+    second.kill();
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
+
+// Guards against an exit that counts as a crash, or that comes while a client could still be served.
+#[test]
+fn sigterm_ends_it_in_order() {
+    let (hop, calls) = far_end(|_| Some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    let (platform, _notices) = platform();
+    let folder = folder("stop", hop, platform);
+    let mut forwarder = Forwarder::start(&folder);
+    assert_eq!(forwarder.ask("GET /healthz HTTP/1.1", "").0, 200);
+    let kill = format!("kill -TERM {}", forwarder.child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    // An open connection holds it up, and is served.
+    let _client = TcpStream::connect(forwarder.address).expect("new connections are still answered");
+    assert_eq!(forwarder.hand_in("status", "late"), 202);
+    next(&calls, "late");
+    assert!(forwarder.child.wait().expect("ends").success());
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
+
+// Guards against a panic, or a connection closed without an answer, on what a client got wrong.
+#[test]
+fn bad_requests_get_plain_answers() {
+    let (platform, _notices) = platform();
+    let folder = folder("bad", platform, platform);
+    let forwarder = Forwarder::start(&folder);
+    let head = |class: &str, dest: &str| {
+        format!(
+            "POST /{class} HTTP/1.1\r\nX-Txn: t\r\nX-Org: acme\r\nX-Remaining: 1\r\nX-Consignee: dest={dest}"
+        )
+    };
+    for (request, body, status) in [
+        ("POST /status HTTP/1.1".to_owned(), "x", 400),
+        (head("status", "x"), "x", 400),
+        (head("parcels", "2"), "x", 404),
+        (head("status", "99"), "x", 422),
+        (head("status", "2"), &"x".repeat(65_537), 413),
+        ("GET /status HTTP/1.1".to_owned(), "", 405),
+        ("NONSENSE".to_owned(), "", 400),
+        ("GET /healthz HTTP/1.1".to_owned(), "", 200),
+    ] {
+        assert_eq!(forwarder.ask(&request, body).0, status, "{request}");
+    }
+    forwarder.kill();
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
+
+// Guards against a panic or a page of text where one line says what is wrong with the configuration.
+#[test]
+fn a_bad_configuration_is_named_in_one_line() {
+    let (platform, _notices) = platform();
+    let folder = folder("config", platform, platform);
+    let path = folder.join("config.json");
+    let good = std::fs::read_to_string(&path).expect("written");
+    let run = |command: &str, text: Option<&str>| -> Output {
+        let _ = std::fs::remove_file(&path);
+        text.into_iter().for_each(|text| std::fs::write(&path, text).expect("written"));
+        let mut program = Command::new(env!("CARGO_BIN_EXE_orchidyoke"));
+        program.arg(command).arg("--config").arg(&path);
+        if command == "serve" {
+            program.arg("--state").arg(folder.join("nowhere"));
+        }
+        program.output().expect("it ends")
+    };
+    assert!(run("check", Some(&good)).status.success());
+    let cases = [
+        (None, "No such file"),
+        (Some("{".to_owned()), "EOF"),
+        (Some(good.replace("\"slots\":6", "\"slots\":0")), "family_info.slots"),
+        (Some(good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"")), "listen: not an address"),
+        (Some(good.replace("8c1f30d27a5be964", "seedy")), "seed: not hex digits"),
+        (Some(good.replace("\"disk_mb\":0.2", "\"disk_mb\":0")), "disk_mb"),
+    ];
+    for (text, words) in &cases {
+        let output = run("check", text.as_deref());
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(
+            !output.status.success() && error.contains(words) && error.lines().count() == 1,
+            "{words}: {error}"
+        );
+    }
+    let output = run("serve", Some(&good));
+    assert!(!output.status.success(), "no folder to keep the journal in");
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
