--- a/src/control.rs
+++ b/src/control.rs
@@ -298,8 +298,8 @@
         }
     }
 
-    /// Destinations with a route that is out, failing, or back but cold: what a restart must not forget, or the
-    /// rule of returns is broken by messages that waited for it. For [`Event::Troubled`].
+    /// Destinations with a route that is out, failing, or back but cold, for [`Event::Troubled`]: were they
+    /// forgotten in a restart, messages that waited for it would break the rule of returns.
     pub fn troubled(&self) -> BTreeSet<DestinationId> {
         let troubled = |route: &Route| match route.health {
             Health::Out => true,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -279,7 +279,7 @@
         /// The first attempt that may have run: how long ago, and where to.
         may_have_run: Option<(Micros, EndpointId)>,
     },
-    /// Destinations that were in trouble before a restart; see [`Controller::troubled`](crate::Controller::troubled).
+    /// Destinations that were in trouble before a restart; see [`troubled`](crate::Controller::troubled).
     Troubled {
         /// Their numbers.
         destinations: Vec<DestinationId>,
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -1,7 +1,7 @@
 //! The journal: what must outlast the process. Records and their bytes, the file they are in, and its space.
 //!
-//! A record is framed by its length and a checksum, so that a tail torn by a kill is told from a whole one. The
-//! file is rewritten with only what still counts when it has grown; old and new together keep to the limit.
+//! A record is framed by its length and a checksum, so that a tail torn by a kill is told from a whole one.
+//! When it has grown, the file is rewritten with what still counts; old and new together keep to the limit.
 
 use super::transport_map::News;
 use crate::interface::Micros;
--- a/src/node/next_hop.rs
+++ b/src/node/next_hop.rs
@@ -105,7 +105,7 @@
     }
 }
 
-/// Says that a connection is closed when its task ends, however it ends: a panic must not hold a call for ever.
+/// Says that a connection is closed when its task ends, also in a panic, which must not hold a call for ever.
 struct Closing {
     link: LinkId,
     inputs: UnboundedSender<Input>,
@@ -170,7 +170,8 @@
         let (call, due) = tokio::select! {
             biased;
             ended = &mut connection => {
-                return broken(Progress::NotFullyWritten, ended.err().map_or("closed".to_owned(), |e| e.to_string()));
+                let why = ended.err().map_or("closed".to_owned(), |error| error.to_string());
+                return broken(Progress::NotFullyWritten, why);
             }
             order = orders.recv() => match order {
                 Some(order) => order,
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -42,7 +42,7 @@
 impl Pool {
     /// No connections yet; the other end closes idle ones after `idle_close`.
     pub fn new(idle_close: Micros, most: usize) -> Self {
-        // A tenth early: the other end counts from when it wrote its answer, and a close needs time to arrive.
+        // A tenth early: the other end counts from when it wrote its answer, and a close takes time.
         Pool { links: BTreeMap::new(), next: 0, keep: idle_close - idle_close / 10, most }
     }
 
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -1,8 +1,9 @@
 //! The reducer: every change of the forwarder's state, with no I/O and no clock of its own.
 //!
-//! [`Reducer::step`] takes one input and gives the effects that it asks for, in the order in which they are to
-//! be carried out. What has to be durable before it is visible waits for the journal's report: a message is
-//! answered as taken on, and a call is written, only after [`Input::Appended`] says that its record is stored.
+//! [`Reducer::step`] takes one input and gives the effects that it asks for, in the order in which they are
+//! to be carried out. What has to be durable before it is visible waits for the journal's report: a message
+//! is answered as taken on, and a call is written, only after [`Input::Appended`] says that its record is
+//! stored.
 
 use super::config::Config;
 use super::hop_call::{self, Call, HopError, Part, Reply};
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -1,4 +1,4 @@
-//! The running forwarder: a clock, the reducer, and the effects that it asks for carried out on sockets and files.
+//! The running forwarder: a clock, the reducer, and the effects that it asks for on sockets and files.
 
 use super::config::Config;
 use super::front::{self, Door, Notice};
