Answer what clients have sent when a stop closes the door

Seen, by reading the stop's path: on Effect::Exit the loop ended first and the process 0.1 s later (serve.rs, run). In that time the listener still took connections, and a request read then was never answered, which loses it. Ruled out: idle connections (they closed at once) and requests read before.

Now the reducer closes the door first (no new connections, kept ones close when answered), goes on for 0.1 s or until the last client has gone, and only then exits, at 3.45 s at the latest. Beside it: a half-closed client gets its answer, idle clients make room for others (tested with 80 on 64 descriptors), and the reducer's log lines are effects too.

--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -157,6 +157,8 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
+        // A client that has ended its sending still wants its answer.
+        .half_close(true)
         .max_buf_size(READ_AHEAD)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -14,7 +14,6 @@
 use crate::interface::{
     Action, Answer, DestinationId, EndpointId, Entry, Event, ListForm, MessageId, Micros, Outcome, Settings,
 };
-use crate::log;
 use crate::settings::Names;
 use bytes::{Bytes, BytesMut};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -35,6 +34,8 @@
 const LEAVE_AFTER: Micros = 3_350_000;
 /// With nothing held and no client connected, a forwarder told to end does so after this time.
 const QUIET: Micros = 500_000;
+/// Time for the sender side's last answers once the door is closed.
+const LAST_ANSWERS: Micros = 100_000;
 /// Pauses before a notice is posted again, and before discovery is asked again.
 const POST_AGAIN: Micros = 100_000;
 const FOLLOW_AGAIN: Micros = 250_000;
@@ -198,6 +199,13 @@
         /// The version held.
         since: u64,
     },
+    /// Write a line to the log.
+    Log {
+        /// The line.
+        line: String,
+    },
+    /// Take no new connections, and close those of clients when what they have asked is answered.
+    CloseDoor,
     /// End the process.
     Exit,
 }
@@ -253,6 +261,8 @@
 struct Leaving {
     at: Micros,
     quiet_since: Micros,
+    /// When the door was closed.
+    closed: Option<Micros>,
 }
 
 /// The state of one forwarder. See [`Reducer::step`].
@@ -439,13 +449,13 @@
                 self.take_list(&news, form);
             }
             Input::MapLost { why } => {
-                log!("transport map: {why}; the last list stays in use");
+                self.log(format!("transport map: {why}; the last list stays in use"));
                 (self.following, self.follow_at) = (false, now + FOLLOW_AGAIN);
             }
             Input::Posted { accepted } => self.posted(now, accepted),
             Input::Terminate => {
                 if self.leaving.is_none() {
-                    self.leaving = Some(Leaving { at: now + LEAVE_AFTER, quiet_since: now });
+                    self.leaving = Some(Leaving { at: now + LEAVE_AFTER, quiet_since: now, closed: None });
                     self.events.push(Event::Closing { time_left: LEAVE_AFTER });
                 }
             }
@@ -463,7 +473,10 @@
         let timer = self.timers.first().map(|(at, _)| *at);
         let post = (self.posting == 0 && !self.owed.is_empty()).then_some(self.post_at);
         let follow = (!self.following).then_some(self.follow_at);
-        let leave = self.leaving.as_ref().map(|l| l.at.min(l.quiet_since + QUIET));
+        let leave = self.leaving.as_ref().map(|leaving| match leaving.closed {
+            Some(closed) => closed + LAST_ANSWERS,
+            None => leaving.at.min(leaving.quiet_since + QUIET),
+        });
         [turn, timer, post, follow, leave, self.pool.reap_at()].into_iter().flatten().min()
     }
 
@@ -581,6 +594,10 @@
         }
     }
 
+    fn log(&mut self, line: String) {
+        self.effects.push(Effect::Log { line });
+    }
+
     fn answer(&mut self, ticket: Ticket, answer: DoorAnswer) {
         self.effects.push(Effect::Answer { ticket, answer });
     }
@@ -759,7 +776,7 @@
                     self.timers.insert((now + delay, token));
                 }
                 Action::Close { endpoint } => self.close_idle(endpoint),
-                Action::Log { text } => log!("module: {text}"),
+                Action::Log { text } => self.log(format!("module: {text}")),
                 // The list is followed all the time, and the platform has neither probes asked for by the
                 // module nor words between forwarders.
                 Action::Watch { .. } | Action::Fetch | Action::Probe { .. } | Action::Tell { .. } => {}
@@ -944,6 +961,9 @@
             return self.dial(now, call, link);
         }
         let Some(flight) = self.flights.remove(&call) else { return };
+        if let Some(hop) = self.hops.get(flight.hop as usize) {
+            self.log(format!("next hop {}: {error}", hop.uid));
+        }
         for part in flight.parts {
             self.report(now, part, error.outcome(), flight.sent, Told::default());
         }
@@ -996,8 +1016,16 @@
         if busy {
             leaving.quiet_since = now;
         }
-        if now >= leaving.at || now - leaving.quiet_since >= QUIET {
-            self.effects.push(Effect::Exit);
+        match leaving.closed {
+            None if now >= leaving.at || now - leaving.quiet_since >= QUIET => {
+                // What clients have sent by now is still taken on: an end without an answer would lose it.
+                leaving.closed = Some(now);
+                self.effects.push(Effect::CloseDoor);
+            }
+            Some(closed) if self.senders == 0 || now - closed >= LAST_ANSWERS => {
+                self.effects.push(Effect::Exit)
+            }
+            _ => {}
         }
     }
 }
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -20,11 +20,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until};
-
-/// Time for the sender side's last answers to leave when the forwarder ends.
-const LAST_ANSWERS: Duration = Duration::from_millis(100);
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep_until};
 
 /// Unix time that never goes back while the process runs.
 #[derive(Clone, Copy)]
@@ -56,6 +53,9 @@
     door: Rc<Door>,
     links: HashMap<LinkId, UnboundedSender<Order>>,
     inputs: UnboundedSender<Input>,
+    notices: Rc<watch::Sender<Notice>>,
+    /// The task that takes connections, once there is one.
+    listening: Option<AbortHandle>,
     ending: bool,
 }
 
@@ -92,6 +92,11 @@
             Effect::Follow { since } => {
                 spawn_local(transport_map::follow(self.discovery, since, self.inputs.clone()));
             }
+            Effect::Log { line } => log!("{line}"),
+            Effect::CloseDoor => {
+                self.listening.take().iter().for_each(AbortHandle::abort);
+                self.notices.send_replace(Notice::Ending);
+            }
             Effect::Exit => self.ending = true,
         }
         None
@@ -104,11 +109,8 @@
     }
 
     fn take(&mut self, reducer: &mut Reducer, input: Input) {
-        if let Input::LinkClosed { link, error } = &input
-            && self.links.remove(link).is_some()
-            && !error.given_up()
-        {
-            log!("next hop: {error}");
+        if let Input::LinkClosed { link, .. } = &input {
+            self.links.remove(link);
         }
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
@@ -138,20 +140,27 @@
     let door = Door::new(inputs.clone());
     let (notices, _) = watch::channel(Notice::Open);
     let notices = Rc::new(notices);
-    let (links, ending) = (HashMap::new(), false);
-    let mut hands =
-        Hands { clock, discovery, journal, door: door.clone(), links, inputs: inputs.clone(), ending };
+    let mut hands = Hands {
+        clock,
+        discovery,
+        journal,
+        door: door.clone(),
+        links: HashMap::new(),
+        inputs: inputs.clone(),
+        notices: notices.clone(),
+        listening: None,
+        ending: false,
+    };
     // What was left over is decided on before anyone is told that the forwarder is ready.
     hands.take(&mut reducer, Input::Alarm);
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     log!("listens on {}", listener.local_addr()?);
-    spawn_local(front::listen(listener, door, most_clients, notices.clone()));
+    let listening = spawn_local(front::listen(listener, door, most_clients, notices));
+    hands.listening = Some(listening.abort_handle());
     spawn_local(signals.report(inputs));
     while !hands.ending {
         step(&mut hands, &mut reducer, &mut came).await;
     }
-    notices.send_replace(Notice::Ending);
-    sleep(LAST_ANSWERS).await;
     log!("ends");
     Ok(())
 }
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -202,6 +202,23 @@
     std::fs::remove_dir_all(&folder).expect("cleans up");
 }
 
+// Guards against clients shut out, or descriptors used up, by connections that stand idle: of the 64 descriptors
+// allowed here, half are for clients.
+#[test]
+fn idle_clients_make_room_for_others() {
+    let (platform, _notices) = platform();
+    let folder = folder("crowd", platform, platform);
+    let path = folder.join("config.json");
+    let text = std::fs::read_to_string(&path).expect("written").replace("\"sockets\":1024", "\"sockets\":64");
+    std::fs::write(&path, text).expect("written");
+    let forwarder = Forwarder::start(&folder);
+    let crowd: Vec<_> = (0..80).map(|_| TcpStream::connect(forwarder.address).expect("taken")).collect();
+    assert_eq!(forwarder.hand_in("status", "a"), 202);
+    drop(crowd);
+    forwarder.kill();
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
+
 // Guards against a panic, or a connection closed without an answer, on what a client got wrong.
 #[test]
 fn bad_requests_get_plain_answers() {
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -90,6 +90,7 @@
     list: Vec<Target>,
     rev: u64,
     waits: BTreeMap<u64, Micros>,
+    door_closed: bool,
     exited: bool,
 }
 
@@ -116,6 +117,7 @@
             list: common::targets(),
             rev: 1,
             waits: BTreeMap::new(),
+            door_closed: false,
             exited: false,
         };
         world.input(Input::Alarm);
@@ -166,6 +168,8 @@
             Effect::Close { link } => return self.close(link, Cause::CalledOff),
             Effect::Post { notices } => assert!(self.posting.replace(notices).is_none()),
             Effect::Follow { since } => assert!(since <= self.rev),
+            Effect::Log { .. } => {}
+            Effect::CloseDoor => assert!(!std::mem::replace(&mut self.door_closed, true)),
             Effect::Exit => self.exited = true,
         }
         None
@@ -306,7 +310,7 @@
             self.may_have_run(&link);
         }
         self.tickets.clear();
-        (self.posting, self.exited) = (None, false);
+        (self.posting, self.door_closed, self.exited) = (None, false, false);
         self.now += S;
         self.waits.clear();
         self.reducer = reducer(&self.file, self.now);
@@ -456,3 +460,26 @@
     let again = world.links.values().find_map(|l| l.call.as_ref()).expect("written again");
     assert_eq!(again.parts, call.parts);
 }
+
+// Guards against a forwarder that is still there when it is killed, and against a message lost in its last moment:
+// what clients have sent when the door closes is still taken on and answered.
+#[test]
+fn a_stop_ends_in_time_and_answers_to_the_last() {
+    let mut world = World::new();
+    world.input(Input::Sender { joined: true });
+    world.hand_in("a".to_owned(), true, 2, 10);
+    world.wait(10_000);
+    world.step(0, Step::Connect { which: 0, up: true });
+    world.step(1, Step::Terminate);
+    world.wait(3_360_000);
+    assert!(world.door_closed && !world.exited, "its call is out to the last");
+    world.hand_in("b".to_owned(), true, 2, 10);
+    world.wait(10_000);
+    assert!(world.fates["b"].taken_on);
+    world.wait(100_000);
+    assert!(world.exited && world.now - START < 3_600_000);
+    world.restart();
+    world.wait(10_000);
+    let owed = world.posting.clone().expect("the order that was out is ended at once");
+    assert_eq!(owed, [("a".to_owned(), Verdict::Failed)]);
+}
