Read a wait told as a decimal number

The protocol says milliseconds, and Retry-After beside it may be decimal. Now it is rounded up. Test: a_wait_is_read_whole_or_decimal.

--- a/src/node/next_hop.rs
+++ b/src/node/next_hop.rs
@@ -290,7 +290,7 @@
     let (parts, body) = answer.into_parts();
     let reply = Reply {
         status: parts.status.as_u16(),
-        wait_ms: text(&parts.headers, "X-Come-Back-Ms").and_then(|t| t.trim().parse().ok()).unwrap_or(0),
+        wait_ms: text(&parts.headers, "X-Come-Back-Ms").map_or(0, milliseconds),
         line_busy: text(&parts.headers, "X-Line-Busy") == Some("1"),
         limit: report(&parts.headers, "x1"),
         left: report(&parts.headers, "x0"),
@@ -300,6 +300,11 @@
     (reply, body)
 }
 
+/// Whole or decimal; a wait that is not kept for want of a digit is a broken rule.
+fn milliseconds(text: &str) -> u64 {
+    text.trim().parse::<f64>().map_or(0, |wait| wait.ceil() as u64)
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -314,6 +319,13 @@
     use super::*;
     use quickcheck::{Gen, QuickCheck};
 
+    // Guards against a wait that is passed over because of the form of its number.
+    #[test]
+    fn a_wait_is_read_whole_or_decimal() {
+        let cases = [("250", 250), (" 250.2 ", 251), ("0", 0), ("-5", 0), ("soon", 0), ("NaN", 0), ("", 0)];
+        assert!(cases.iter().all(|(text, wait)| milliseconds(text) == *wait));
+    }
+
     // Guards against a call taken for unwritten though its last byte went out, or the other way round,
     // however the writes were cut.
     #[test]
