Find the end of a call's message that ran out of time before the answer

Seen: a test with an order and a status in one call, answered after the status's 8 s: though both were accepted, the next message for that destination waited. Reducer::answered looked ids up among the messages still held; the status was gone, its end counted as left out of the answer, hence an error, and as push-back it was what the module judged the whole call by. Ruled out: the answer (read whole) and the module (an Ok alone reopens it).

Now a call keeps the ids that it was written with. Test: a_message_out_of_time_spoils_no_call, failing before, passing now.

--- a/src/node/hop_call.rs
+++ b/src/node/hop_call.rs
@@ -90,7 +90,7 @@
 }
 
 /// The ends of the messages of a call, in their order.
-pub fn ends(reply: &Reply, txns: &[&str]) -> Vec<End> {
+pub fn ends(reply: &Reply, txns: &[String]) -> Vec<End> {
     let all = |outcome| vec![End { outcome, over: false }; txns.len()];
     match reply.status {
         200 if reply.bulk => {
@@ -98,7 +98,7 @@
                 return all(Outcome::Reset);
             };
             let told: HashMap<_, _> = told.into_iter().map(|end| (end.id, end.state)).collect();
-            txns.iter().map(|txn| bulk_end(told.get(*txn).map(String::as_str))).collect()
+            txns.iter().map(|txn| bulk_end(told.get(txn).map(String::as_str))).collect()
         }
         200 => all(Outcome::Ok),
         // Not of the form or too many messages: nothing was looked at.
@@ -207,7 +207,8 @@
     fn each_message_of_a_call_has_its_own_end() {
         let told = r#"[{"id":"b","state":"deferred"},{"id":"a","state":"accepted"},{"id":"c","state":"fault"},
             {"id":"d","state":"expired"},{"id":"e","state":"no_more"}]"#;
-        let got = ends(&bulk(told), &["a", "b", "c", "d", "e", "left out"]);
+        let txns = ["a", "b", "c", "d", "e", "left out"].map(str::to_owned);
+        let got = ends(&bulk(told), &txns);
         let outcomes: Vec<_> = got.iter().map(|end| (end.outcome, end.over)).collect();
         let expected = [
             (Outcome::Ok, false),
@@ -218,7 +219,7 @@
             (Outcome::Error, false),
         ];
         assert_eq!(outcomes, expected);
-        assert!(ends(&bulk("[{\"id\":"), &["a", "b"]).iter().all(|end| end.outcome == Outcome::Reset));
+        assert!(ends(&bulk("[{\"id\":"), &txns).iter().all(|end| end.outcome == Outcome::Reset));
     }
 
     // Guards against "never ran" being said of a call whose last byte went out.
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -229,6 +229,8 @@
 struct Flight {
     hop: EndpointId,
     parts: Vec<(MessageId, u32)>,
+    /// Their ids, from when the call begins: a message may be over before the call is.
+    txns: Vec<String>,
     sent: Micros,
     due: Micros,
     /// It went on a connection that had been idle.
@@ -834,7 +836,8 @@
                 }
                 None => {
                     let parts = vec![part];
-                    calls.push(Flight { hop, parts, sent: now, due, reused: false, begun: false });
+                    let txns = Vec::new();
+                    calls.push(Flight { hop, parts, txns, sent: now, due, reused: false, begun: false });
                 }
             }
         }
@@ -885,6 +888,7 @@
         let sent = flight.sent;
         let txns = flight.parts.iter().filter_map(|(id, _)| self.messages.get(id));
         let txns: Vec<_> = txns.map(|m| m.taken.txn.clone()).collect();
+        flight.txns.clone_from(&txns);
         for part in gone {
             self.report(now, part, Outcome::Moot, sent, Told::default());
         }
@@ -939,9 +943,7 @@
             let until = self.waits.entry(hop.destination).or_default();
             *until = (*until).max(now.saturating_add(wait));
         }
-        let txns: Vec<_> =
-            flight.parts.iter().map(|(id, _)| self.messages.get(id).map_or("", |m| &m.taken.txn)).collect();
-        let ends = hop_call::ends(reply, &txns);
+        let ends = hop_call::ends(reply, &flight.txns);
         let mut ends: Vec<_> = flight.parts.iter().zip(ends).collect();
         // The module judges a call by the first of its ends: push-back before success, not sent last.
         ends.sort_by_key(|(_, end)| match end.outcome {
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -529,3 +529,21 @@
     assert_eq!(world.follows, [1, 2], "asked again, once, for what came after the version held");
     assert!(world.fates["x"].taken_on && !world.links.is_empty());
 }
+
+// Guards against a delivery taken for a failure of its next hop: a message of the call had run out of time before
+// the answer came, and its end, though told, was no longer found.
+#[test]
+fn a_message_out_of_time_spoils_no_call() {
+    let mut world = World::new();
+    world.hand_in("order".to_owned(), true, 1, 10);
+    world.hand_in("status".to_owned(), false, 1, 10);
+    world.wait(10_000);
+    world.step(1, Step::Connect { which: 0, up: true });
+    world.wait(8 * S);
+    world.post(true);
+    assert!(world.fates["status"].notice.is_some() && world.fates["order"].notice.is_none());
+    world.answer(0, 0);
+    world.hand_in("next".to_owned(), true, 1, 10);
+    world.wait(10_000);
+    assert!(world.pick(0, |l| l.call.is_some()).is_some(), "sent at once, as to a healthy destination");
+}
