Read the configuration again at SIGHUP instead of ending on it

Ruled out: asking the new address for the whole list from version 0; the versions are the platform's, and an agent that is behind could bring back an endpoint that was told to drain.

The file is checked whole before anything changes; a broken or missing one leaves one line in the log. Discovery, watch and notices go to the new address at once, the last list holds meanwhile; settings reach the module as an event, and the watch that was left no longer counts when it ends.

--- a/src/control.rs
+++ b/src/control.rs
@@ -359,6 +359,7 @@
                     }
                 }
             }
+            Event::Settings(settings) => self.set = (**settings).clone(),
             Event::Closing { time_left } => self.closes_at = Some(self.now + *time_left),
             Event::Hangup { id } => self.forget(*id),
             Event::Outcome(answer) => {
@@ -393,6 +394,7 @@
         let destination = self.destinations.entry(entry.destination).or_default();
         if let Some(known) = self.endpoints.get_mut(&entry.endpoint) {
             known.usable = entry.state == Listed::On && known.destination == entry.destination;
+            (known.zone, known.kind, known.batch) = (entry.zone, entry.kind, kind.batch.max(1));
             self.routes[known.route].weight = entry.weight;
             return;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -284,6 +284,8 @@
         /// Their numbers.
         destinations: Vec<DestinationId>,
     },
+    /// Other settings hold from now on; the list comes again right after.
+    Settings(Box<Settings>),
     /// The forwarder stops: what cannot end by then is not begun.
     Closing {
         /// How long it still runs.
--- a/src/node/cli.rs
+++ b/src/node/cli.rs
@@ -1,9 +1,9 @@
 //! The command line.
 
 use super::config::Config;
+use super::reload::Source;
 use super::serve::serve;
 use clap::{Args, Parser, Subcommand};
-use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -42,21 +42,21 @@
     /// Where clients connect, in place of what the configuration says.
     #[arg(long, env = "EDGE_LISTEN", value_name = "ADDRESS:PORT")]
     listen: Option<String>,
-    /// Where discovery answers, in place of what the configuration says.
+    /// Where discovery answers, in place of what the configuration says until that is read again (SIGHUP).
     #[arg(long, env = "EDGE_DISCOVERY", value_name = "ADDRESS:PORT")]
     discovery: Option<String>,
 }
 
 impl Given {
-    fn load(&self) -> Result<Config, Box<dyn Error>> {
-        Ok(Config::load(&self.config, self.listen.as_deref(), self.discovery.as_deref())?)
+    fn source(self) -> Source {
+        Source { path: self.config, listen: self.listen, discovery: self.discovery }
     }
 }
 
 fn check(config: &Config) {
     let set = &config.settings;
     println!("name: {}", config.name);
-    println!("listens on {}, asks discovery at {}", config.listen, config.discovery);
+    println!("listens on {}, asks discovery at {}", config.listen, config.discovery.at_start(None));
     println!("classes: {}", config.names.classes.join(", "));
     println!("kinds of destination: {}", config.names.kinds.join(", "));
     println!("endpoints known: {} (version {})", config.known.targets.len(), config.known.rev);
@@ -69,8 +69,8 @@
 /// Does what the command line says. What goes wrong is said in one line.
 pub fn run() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { given, state } => given.load().and_then(|config| serve(config, &state)),
-        Command::Check { given } => given.load().map(|config| check(&config)),
+        Command::Serve { given, state } => serve(given.source(), &state),
+        Command::Check { given } => given.source().load().map(|config| check(&config)).map_err(Into::into),
         Command::Version => {
             println!("orchidyoke {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -43,14 +43,31 @@
 
 impl std::error::Error for ConfigError {}
 
+/// Where discovery answers: the file says it, and what is given apart from the file may say otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Discovery {
+    /// Given apart from the file.
+    pub given: Option<SocketAddr>,
+    /// What the file says; where it says nothing, what was given.
+    pub file: SocketAddr,
+}
+
+impl Discovery {
+    /// The address at a start: what was given, unless a reload has put the file in its place since.
+    pub fn at_start(&self, superseded: Option<SocketAddr>) -> SocketAddr {
+        self.given.filter(|given| Some(*given) != superseded).unwrap_or(self.file)
+    }
+}
+
 /// A configuration that has been read and checked.
+#[derive(Debug)]
 pub struct Config {
     /// The forwarder's name.
     pub name: String,
     /// Where the sender side connects.
     pub listen: SocketAddr,
     /// Where discovery answers.
-    pub discovery: SocketAddr,
+    pub discovery: Discovery,
     /// Seed of the module's chance.
     pub seed: u64,
     /// What the machine allows.
@@ -70,7 +87,7 @@
 }
 
 impl Config {
-    /// Reads a file; addresses given apart from it come first.
+    /// Reads a file, with the addresses given apart from it.
     pub fn load(path: &Path, listen: Option<&str>, discovery: Option<&str>) -> Result<Self, ConfigError> {
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|e| ConfigError(format!("{}: {e}", path.display())))?;
@@ -101,10 +118,15 @@
         }
         let seed = u64::from_str_radix(&file.seed, 16);
         let seed = seed.map_err(|_| ConfigError(format!("seed: not hex digits: {:?}", file.seed)))?;
+        let given = discovery.map(|text| address("discovery", Some(text), None)).transpose()?;
+        let discovery = Discovery {
+            given,
+            file: address("discovery", None, file.discovery.or(given.map(|address| address.to_string())))?,
+        };
         Ok(Config {
             name: file.name,
             listen: address("listen", listen, file.listen)?,
-            discovery: address("discovery", discovery, file.discovery)?,
+            discovery,
             seed,
             limits: file.limits,
             known: file.known,
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Bytes before a record's content: its length and its checksum.
@@ -107,6 +108,11 @@
     },
     /// News of the transport map.
     Map(News),
+    /// A reload has put the file's discovery in the place of this address, which was given apart from it.
+    Superseded {
+        /// The address given.
+        discovery: SocketAddr,
+    },
     /// The destinations in trouble, all of them.
     Troubled {
         /// Their numbers.
@@ -189,6 +195,11 @@
         self.file + more + live + more + SLACK > self.limit
     }
 
+    /// The folder may hold so many bytes from now on.
+    pub fn limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// So many bytes went in.
     pub fn grew(&mut self, by: usize) {
         self.file += by;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 pub mod notices;
 pub mod pool;
 pub mod reducer;
+pub mod reload;
 pub mod serve;
 pub mod shutdown;
 pub mod transport_map;
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -42,8 +42,18 @@
 impl Pool {
     /// No connections yet; the other end closes idle ones after `idle_close`.
     pub fn new(idle_close: Micros, most: usize) -> Self {
+        let (keep, most) = Pool::bounds(idle_close, most);
+        Pool { links: BTreeMap::new(), next: 0, keep, most }
+    }
+
+    /// Other bounds hold from now on.
+    pub fn bound(&mut self, idle_close: Micros, most: usize) {
+        (self.keep, self.most) = Pool::bounds(idle_close, most);
+    }
+
+    fn bounds(idle_close: Micros, most: usize) -> (Micros, usize) {
         // A tenth early: the other end counts from when it wrote its answer, and a close takes time.
-        Pool { links: BTreeMap::new(), next: 0, keep: idle_close - idle_close / 10, most }
+        (idle_close - idle_close / 10, most)
     }
 
     /// A connection for a call: the one used last, so that the others get old and close.
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -5,11 +5,11 @@
 //! is answered as taken on, and a call is written, only after [`Input::Appended`] says that its record is
 //! stored.
 
-use super::config::Config;
+use super::config::{Config, Limits};
 use super::hop_call::{self, Call, HopError, Part, Reply};
 use super::journal::{Entries, Record, Space, Taken, Trace, Verdict};
 use super::pool::{CallId, Claim, LinkId, Pool};
-use super::transport_map::{News, State, TransportMap};
+use super::transport_map::{News, State, TransportMap, WatchId};
 use crate::Controller;
 use crate::interface::{
     Action, Answer, DestinationId, EndpointId, Entry, Event, ListForm, MessageId, Micros, Outcome, Settings,
@@ -135,6 +135,8 @@
     News(News),
     /// The watch has ended.
     MapLost {
+        /// Which watch.
+        watch: WatchId,
         /// Why, for the log.
         why: String,
     },
@@ -143,6 +145,8 @@
         /// With 204.
         accepted: bool,
     },
+    /// The configuration was read again and is good.
+    Reconfigured(Box<Config>),
     /// The process was told to end.
     Terminate,
     /// Time has come; see [`Reducer::wake_at`].
@@ -194,11 +198,17 @@
     },
     /// Post these notices and report.
     Post {
+        /// Where to.
+        to: SocketAddr,
         /// The final answers.
         notices: Vec<(String, Verdict)>,
     },
-    /// Follow discovery's list from this version on.
+    /// Follow discovery's list from this version on; a watch before it ends.
     Follow {
+        /// Number of the watch.
+        watch: WatchId,
+        /// Where discovery answers.
+        from: SocketAddr,
         /// The version held.
         since: u64,
     },
@@ -295,6 +305,10 @@
     waits: BTreeMap<DestinationId, Micros>,
     /// Destinations in trouble, as the journal has them.
     troubled: BTreeSet<DestinationId>,
+    /// Where discovery answers, and the address given apart from the file that it has superseded.
+    discovery: SocketAddr,
+    superseded: Option<SocketAddr>,
+    watch: WatchId,
     following: bool,
     follow_at: Micros,
     pool: Pool,
@@ -308,6 +322,21 @@
     effects: Vec<Effect>,
 }
 
+/// What follows from the machine's limits.
+struct Bounds {
+    disk: usize,
+    recent: usize,
+    links: usize,
+}
+
+impl Bounds {
+    fn new(settings: &Settings, limits: Limits) -> Self {
+        let disk = (limits.disk_mb * 1e6) as usize;
+        let recent = disk / RECENT_SHARE / SHORT_RECORD;
+        Bounds { disk, recent, links: settings.slots + limits.sockets / 4 }
+    }
+}
+
 /// What was left of a message by the journal.
 #[derive(Default)]
 struct Replayed {
@@ -316,6 +345,7 @@
     over: Vec<(String, Micros)>,
     map: TransportMap,
     troubled: BTreeSet<DestinationId>,
+    superseded: Option<SocketAddr>,
 }
 
 fn replay(records: Entries) -> Replayed {
@@ -358,6 +388,7 @@
                 left.over.push((txn, at));
             }
             Record::Map(news) => left.map.take(&news),
+            Record::Superseded { discovery } => left.superseded = Some(discovery),
             Record::Troubled { dests } => left.troubled = dests.into_iter().collect(),
         }
     }
@@ -369,7 +400,7 @@
     pub fn new(config: Config, records: Entries, journal_size: usize, now: Micros) -> Self {
         let settings = config.settings;
         let left = replay(records);
-        let limit = (config.limits.disk_mb * 1e6) as usize;
+        let bounds = Bounds::new(&settings, config.limits);
         let mut reducer = Reducer {
             controller: Controller::new(settings.clone(), config.seed),
             events: Vec::new(),
@@ -380,7 +411,7 @@
             next_message: 0,
             recent: HashMap::new(),
             recent_order: VecDeque::new(),
-            recent_most: limit / RECENT_SHARE / SHORT_RECORD,
+            recent_most: bounds.recent,
             owed: left.owed.into(),
             posting: 0,
             post_at: now,
@@ -389,12 +420,16 @@
             hop_numbers: HashMap::new(),
             waits: BTreeMap::new(),
             troubled: left.troubled,
+            discovery: config.discovery.at_start(left.superseded),
+            // Another address given since then is news: it counts, and the record does not.
+            superseded: left.superseded.filter(|address| config.discovery.given == Some(*address)),
+            watch: 0,
             following: false,
             follow_at: now,
-            pool: Pool::new(settings.idle_close, settings.slots + config.limits.sockets / 4),
+            pool: Pool::new(settings.idle_close, bounds.links),
             flights: BTreeMap::new(),
             next_call: 0,
-            space: Space::new(limit, journal_size),
+            space: Space::new(bounds.disk, journal_size),
             stored: BTreeMap::new(),
             next_receipt: 0,
             senders: 0,
@@ -456,11 +491,14 @@
                 self.append(&[(&record, b"")], None);
                 self.take_list(&news, form);
             }
-            Input::MapLost { why } => {
+            Input::MapLost { watch, why } if watch == self.watch => {
                 self.log(format!("transport map: {why}; the last list stays in use"));
                 (self.following, self.follow_at) = (false, now + FOLLOW_AGAIN);
             }
+            // A watch on the address before, that ended as it was left.
+            Input::MapLost { .. } => {}
             Input::Posted { accepted } => self.posted(now, accepted),
+            Input::Reconfigured(config) => self.reconfigure(now, *config),
             Input::Terminate => {
                 if self.leaving.is_none() {
                     self.leaving = Some(Leaving { at: now + LEAVE_AFTER, quiet_since: now, closed: None });
@@ -681,6 +719,9 @@
         let mut bytes = BytesMut::new();
         Record::Map(self.map.whole()).encode(b"", &mut bytes);
         Record::Troubled { dests: self.troubled.iter().copied().collect() }.encode(b"", &mut bytes);
+        if let Some(discovery) = self.superseded {
+            Record::Superseded { discovery }.encode(b"", &mut bytes);
+        }
         for (at, txn) in &self.recent_order {
             Record::Over { txn: txn.clone(), at: *at }.encode(b"", &mut bytes);
         }
@@ -701,7 +742,7 @@
             let notices =
                 self.owed.iter().take(self.posting).map(|(txn, verdict, _)| (txn.clone(), *verdict));
             let notices = notices.collect();
-            self.effects.push(Effect::Post { notices });
+            self.effects.push(Effect::Post { to: self.discovery, notices });
         }
     }
 
@@ -724,12 +765,40 @@
         }
     }
 
+    // A new configuration.
+
+    /// Takes over what can change while the process runs. What is held and what is out carries on; the list
+    /// stays in use until discovery, perhaps at another address, has told more.
+    fn reconfigure(&mut self, now: Micros, config: Config) {
+        let Config { discovery, settings, names, limits, .. } = config;
+        self.log(format!("configuration: read again, discovery is at {}", discovery.file));
+        if let Some(discovery) = discovery.given.filter(|given| Some(*given) != self.superseded) {
+            self.append(&[(&Record::Superseded { discovery }, b"")], None);
+            self.superseded = Some(discovery);
+        }
+        if self.discovery != discovery.file {
+            self.discovery = discovery.file;
+            (self.following, self.follow_at, self.post_at) = (false, now, now);
+        }
+        let bounds = Bounds::new(&settings, limits);
+        self.pool.bound(settings.idle_close, bounds.links);
+        self.space.limit(bounds.disk);
+        self.recent_most = bounds.recent;
+        (self.settings, self.names) = (settings.clone(), names);
+        self.events.push(Event::Settings(Box::new(settings)));
+        // The numbers of zones and kinds may have changed.
+        let whole = self.map.whole();
+        self.take_list(&whole, ListForm::Whole);
+    }
+
     // The transport map.
 
     fn follow(&mut self, now: Micros) {
         if !self.following && now >= self.follow_at {
             self.following = true;
-            self.effects.push(Effect::Follow { since: self.map.rev() });
+            self.watch += 1;
+            let since = self.map.rev();
+            self.effects.push(Effect::Follow { watch: self.watch, from: self.discovery, since });
         }
     }
 
--- /dev/null
+++ b/src/node/reload.rs
@@ -0,0 +1,47 @@
+//! New configurations: at SIGHUP the file is read again and checked whole; only a good one is handed on.
+
+use super::config::{Config, ConfigError};
+use super::reducer::Input;
+use crate::log;
+use std::io;
+use std::path::PathBuf;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Where the configuration comes from: the file, and what was given apart from it.
+pub struct Source {
+    /// The file.
+    pub path: PathBuf,
+    /// Where clients connect.
+    pub listen: Option<String>,
+    /// Where discovery answers.
+    pub discovery: Option<String>,
+}
+
+impl Source {
+    /// Reads and checks the configuration as it is now.
+    pub fn load(&self) -> Result<Config, ConfigError> {
+        Config::load(&self.path, self.listen.as_deref(), self.discovery.as_deref())
+    }
+}
+
+/// SIGHUP, listened for from here on.
+pub struct Reloads(Signal);
+
+impl Reloads {
+    /// Takes the signal over from the system's default, which would end the process.
+    pub fn listen() -> io::Result<Self> {
+        signal(SignalKind::hangup()).map(Reloads)
+    }
+
+    /// Reports each good configuration. A file that is missing or broken changes nothing.
+    pub async fn report(mut self, source: Source, inputs: UnboundedSender<Input>) {
+        while self.0.recv().await.is_some() {
+            match source.load() {
+                // The receiver is gone only when the forwarder ends.
+                Ok(config) => drop(inputs.send(Input::Reconfigured(Box::new(config)))),
+                Err(error) => log!("configuration: the old one stays in use: {error}"),
+            }
+        }
+    }
+}
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -1,11 +1,11 @@
 //! The running forwarder: a clock, the reducer, and the effects that it asks for on sockets and files.
 
-use super::config::Config;
 use super::front::{self, Door, Notice};
 use super::journal::Journal;
 use super::next_hop::{self, Order};
 use super::pool::LinkId;
 use super::reducer::{Effect, Input, Reducer};
+use super::reload::{Reloads, Source};
 use super::shutdown::Signals;
 use super::{notices, transport_map};
 use crate::interface::Micros;
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use std::collections::{HashMap, VecDeque};
 use std::error::Error;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -48,12 +47,13 @@
 /// Carries out effects.
 struct Hands {
     clock: Clock,
-    discovery: SocketAddr,
     journal: Journal,
     door: Rc<Door>,
     links: HashMap<LinkId, UnboundedSender<Order>>,
     inputs: UnboundedSender<Input>,
     notices: Rc<watch::Sender<Notice>>,
+    /// The task that follows discovery's list, once there is one.
+    watch: Option<AbortHandle>,
     /// The task that takes connections, once there is one.
     listening: Option<AbortHandle>,
     ending: bool,
@@ -86,11 +86,13 @@
             Effect::Close { link } => {
                 self.links.remove(&link);
             }
-            Effect::Post { notices } => {
-                spawn_local(notices::post(self.discovery, notices, self.inputs.clone()));
+            Effect::Post { to, notices } => {
+                spawn_local(notices::post(to, notices, self.inputs.clone()));
             }
-            Effect::Follow { since } => {
-                spawn_local(transport_map::follow(self.discovery, since, self.inputs.clone()));
+            Effect::Follow { watch, from, since } => {
+                self.watch.iter().for_each(AbortHandle::abort);
+                let task = spawn_local(transport_map::follow(watch, from, since, self.inputs.clone()));
+                self.watch = Some(task.abort_handle());
             }
             Effect::Log { line } => log!("{line}"),
             Effect::CloseDoor => {
@@ -122,18 +124,19 @@
 }
 
 /// Serves until the process is told to end.
-pub fn serve(config: Config, state: &Path) -> Result<(), Box<dyn Error>> {
+pub fn serve(source: Source, state: &Path) -> Result<(), Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(run(config, state)))
+    runtime.block_on(LocalSet::new().run_until(run(source, state)))
 }
 
-async fn run(config: Config, state: &Path) -> Result<(), Box<dyn Error>> {
-    let signals = Signals::listen()?;
+async fn run(source: Source, state: &Path) -> Result<(), Box<dyn Error>> {
+    let (signals, reloads) = (Signals::listen()?, Reloads::listen()?);
+    let config = source.load()?;
     let clock = Clock::start();
     let (inputs, mut came) = unbounded_channel();
     let opened = Journal::open(state);
     let (journal, records, size) = opened.map_err(|e| format!("{}: {e}", state.display()))?;
-    let (listen, discovery) = (config.listen, config.discovery);
+    let listen = config.listen;
     let most_clients = config.limits.sockets / 2;
     log!("{} starts: {} records in its journal", config.name, records.len());
     let mut reducer = Reducer::new(config, records, size, clock.now());
@@ -142,12 +145,12 @@
     let notices = Rc::new(notices);
     let mut hands = Hands {
         clock,
-        discovery,
         journal,
         door: door.clone(),
         links: HashMap::new(),
         inputs: inputs.clone(),
         notices: notices.clone(),
+        watch: None,
         listening: None,
         ending: false,
     };
@@ -157,7 +160,8 @@
     log!("listens on {}", listener.local_addr()?);
     let listening = spawn_local(front::listen(listener, door, most_clients, notices));
     hands.listening = Some(listening.abort_handle());
-    spawn_local(signals.report(inputs));
+    spawn_local(signals.report(inputs.clone()));
+    spawn_local(reloads.report(source, inputs));
     while !hands.ending {
         step(&mut hands, &mut reducer, &mut came).await;
     }
--- a/src/node/transport_map.rs
+++ b/src/node/transport_map.rs
@@ -147,14 +147,17 @@
     WatchError::Broken(error.to_string())
 }
 
+/// One watch on the list; the next has another number.
+pub type WatchId = u64;
+
 /// Follows the list from a version on until the watch ends; whoever asked may ask again.
-pub async fn follow(discovery: SocketAddr, since: u64, inputs: UnboundedSender<Input>) {
+pub async fn follow(number: WatchId, discovery: SocketAddr, since: u64, inputs: UnboundedSender<Input>) {
     let why = match watch(discovery, since, &inputs).await {
         Ok(()) => "it ended".to_owned(),
         Err(error) => error.to_string(),
     };
     // The receiver is gone only when the forwarder ends.
-    let _ = inputs.send(Input::MapLost { why });
+    let _ = inputs.send(Input::MapLost { watch: number, why });
 }
 
 async fn watch(discovery: SocketAddr, since: u64, inputs: &UnboundedSender<Input>) -> Result<(), WatchError> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -100,7 +100,7 @@
 }
 
 /// The names behind the numbers of the settings.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Names {
     /// Classes of messages.
     pub classes: Vec<String>,
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -75,23 +75,36 @@
 struct Forwarder {
     child: Child,
     address: SocketAddr,
+    /// Its log from then on.
+    log: Receiver<String>,
 }
 
 impl Forwarder {
     fn start(folder: &Path) -> Self {
+        Forwarder::start_with(folder, &[])
+    }
+
+    fn start_with(folder: &Path, options: &[&str]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_orchidyoke"))
             .args(["serve", "--config"])
             .arg(folder.join("config.json"))
             .arg("--state")
             .arg(folder)
+            .args(options)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
         let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines().map_while(Result::ok);
         let address = lines.find_map(|line| line.split_once("listens on ").map(|(_, a)| a.to_owned()));
         let address = address.expect("it listens").parse().expect("an address");
-        thread::spawn(move || lines.for_each(drop));
-        Forwarder { child, address }
+        let (sender, log) = channel();
+        thread::spawn(move || lines.for_each(|line| drop(sender.send(line))));
+        Forwarder { child, address, log }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 
     fn kill(mut self) {
@@ -192,8 +205,7 @@
     let folder = folder("stop", hop, platform);
     let mut forwarder = Forwarder::start(&folder);
     assert_eq!(forwarder.ask("GET /healthz HTTP/1.1", "").0, 200);
-    let kill = format!("kill -TERM {}", forwarder.child.id());
-    assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    forwarder.signal("TERM");
     // An open connection holds it up, and is served.
     let _client = TcpStream::connect(forwarder.address).expect("new connections are still answered");
     assert_eq!(forwarder.hand_in("status", "late"), 202);
@@ -284,3 +296,31 @@
     assert!(!output.status.success(), "no folder to keep the journal in");
     std::fs::remove_dir_all(&folder).expect("cleans up");
 }
+
+// Guards against SIGHUP ending the program, as it does where nobody takes it, against a broken file taken half, and
+// against notices that still go to the address before. What was given on the command line is superseded.
+#[test]
+fn sighup_takes_a_good_file_and_leaves_a_bad_one() {
+    let (hop, _calls) = far_end(|_| Some("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"));
+    let ((old, old_asked), (new, new_asked)) = (platform(), platform());
+    let folder = folder("reload", hop, old);
+    let path = folder.join("config.json");
+    let good = std::fs::read_to_string(&path).expect("written");
+    let mut forwarder = Forwarder::start_with(&folder, &["--discovery", &old.to_string()]);
+    next(&old_asked, "GET /v1/servers?follow=1");
+    for bad in [Some("{"), None] {
+        std::fs::remove_file(&path).expect("there");
+        bad.into_iter().for_each(|text| std::fs::write(&path, text).expect("written"));
+        forwarder.signal("HUP");
+        next(&forwarder.log, "the old one stays in use");
+    }
+    std::fs::write(&path, good.replace(&old.to_string(), &new.to_string())).expect("written");
+    forwarder.signal("HUP");
+    next(&new_asked, "GET /v1/servers?follow=1");
+    assert_eq!(forwarder.hand_in("orders", "a"), 202);
+    next(&new_asked, r#"{"id":"a","state":"failed"}"#);
+    assert!(old_asked.try_iter().all(|asked| !asked.contains("outcomes")));
+    assert!(forwarder.child.try_wait().expect("a child").is_none(), "it goes on");
+    forwarder.kill();
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -89,7 +89,8 @@
     posting: Option<Vec<(String, Verdict)>>,
     list: Vec<Target>,
     rev: u64,
-    follows: Vec<u64>,
+    /// Watches asked for: number, port of discovery, version held.
+    follows: Vec<(u64, u16, u64)>,
     waits: BTreeMap<u64, Micros>,
     door_closed: bool,
     exited: bool,
@@ -168,8 +169,8 @@
             }
             Effect::Write { link, call } => self.write(link, call),
             Effect::Close { link } => return self.close(link, Cause::CalledOff),
-            Effect::Post { notices } => assert!(self.posting.replace(notices).is_none()),
-            Effect::Follow { since } => self.follows.push(since),
+            Effect::Post { notices, .. } => assert!(self.posting.replace(notices).is_none()),
+            Effect::Follow { watch, from, since } => self.follows.push((watch, from.port(), since)),
             Effect::Log { .. } => {}
             Effect::CloseDoor => assert!(!std::mem::replace(&mut self.door_closed, true)),
             Effect::Exit => self.exited = true,
@@ -523,10 +524,14 @@
 fn a_lost_discovery_is_asked_again_and_its_list_stays_in_use() {
     let mut world = World::new();
     world.step(0, Step::List { which: 3, state: State::Terminating });
-    world.input(Input::MapLost { why: "silent".to_owned() });
+    world.input(Input::MapLost { watch: 1, why: "silent".to_owned() });
     world.hand_in("x".to_owned(), false, 2, 10);
     world.wait(S);
-    assert_eq!(world.follows, [1, 2], "asked again, once, for what came after the version held");
+    assert_eq!(
+        world.follows,
+        [(1, 2, 1), (2, 2, 2)],
+        "asked again, once, for what came after the version held"
+    );
     assert!(world.fates["x"].taken_on && !world.links.is_empty());
 }
 
@@ -547,3 +552,55 @@
     world.wait(10_000);
     assert!(world.pick(0, |l| l.call.is_some()).is_some(), "sent at once, as to a healthy destination");
 }
+
+// Guards against a reload that stays with the old discovery, forgets what is held or the list, or follows two
+// addresses: the watch that was left says so late.
+#[test]
+fn a_reload_asks_the_new_discovery_at_once_and_carries_on() {
+    let mut world = World::new();
+    world.hand_in("a".to_owned(), true, 2, 10);
+    world.wait(10_000);
+    let text =
+        common::config("127.0.0.1:1", "127.0.0.1:3", Vec::new()).replace("\"slots\":6", "\"slots\":12");
+    world.input(Input::Reconfigured(Box::new(Config::read(&text, None, None).expect("a configuration"))));
+    assert_eq!(world.follows, [(1, 2, 1), (2, 3, 1)]);
+    world.input(Input::MapLost { watch: 1, why: "it ended".to_owned() });
+    world.wait(S / 2);
+    assert_eq!(world.follows.len(), 2, "nothing is asked again for the old one's end");
+    world.step(0, Step::Connect { which: 0, up: true });
+    world.answer(0, 0);
+    assert!(world.fates["a"].delivered);
+    world.hand_in("b".to_owned(), true, 2, 10);
+    world.wait(10_000);
+    assert!(world.pick(0, |l| l.call.is_some()).is_some(), "the list stays in use");
+}
+
+// Guards against a restart that goes back to the address given at the first start, which the reload superseded,
+// and against staying with the file when another address is given: that is newer.
+#[test]
+fn a_restart_after_a_reload_keeps_to_the_file() {
+    let config = |port: u16, given: Option<&str>| {
+        let text = common::config("127.0.0.1:1", &format!("127.0.0.1:{port}"), common::targets());
+        Config::read(&text, None, given).expect("a configuration")
+    };
+    let asked = |file: &mut Vec<u8>, config: Config, reload: Option<Config>| {
+        let (records, whole) = replay(Bytes::copy_from_slice(file));
+        let mut reducer = Reducer::new(config, records, whole, START);
+        let inputs = [Some(Input::Alarm), reload.map(|config| Input::Reconfigured(Box::new(config)))];
+        let mut port = 0;
+        for effect in inputs.into_iter().flatten().flat_map(|input| reducer.step(START, input)) {
+            match effect {
+                Effect::Append { bytes, .. } => file.extend_from_slice(&bytes),
+                Effect::Follow { from, .. } => port = from.port(),
+                _ => {}
+            }
+        }
+        port
+    };
+    let (old, new) = (Some("127.0.0.1:2"), Some("127.0.0.1:5"));
+    let mut file = Vec::new();
+    assert_eq!(asked(&mut file, config(3, old), None), 2, "what is given comes first at a start");
+    assert_eq!(asked(&mut file, config(2, old), Some(config(3, old))), 3);
+    assert_eq!(asked(&mut file, config(4, old), None), 4, "the file as it is now");
+    assert_eq!(asked(&mut file, config(4, new), None), 5);
+}
