Refuse bad clients from the head and in time, and bound spoilt answers

Silent connections stayed for 60 s (HEAD_TIME), half bodies for 5 s, and when connections ran short all idle ones were closed at once, those of the usual clients first.

Deadlines beyond the class's are cut to it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -17,6 +17,8 @@
 const CAP: f64 = 0.75;
 /// Part of the slots for a sick destination, and for all sick ones together (design: one half).
 const SICK_CAP: f64 = 0.5;
+/// Unreadable answers of one endpoint with no success between that count as its errors.
+const SPOILT_STREAK: u32 = 3;
 /// Push-backs with no success between that mean an outage; fewer are met on any busy day.
 const OUTAGE_STREAK: u32 = 3;
 /// ... if none was seen for this long: a system that fails or refuses a part of its calls is not out.
@@ -114,6 +116,8 @@
     in_flight: usize,
     idle: Vec<Micros>,
     streak: u32,
+    /// Unreadable answers since the last success.
+    spoilt: u32,
     avoid_until: Micros,
 }
 
@@ -578,7 +582,7 @@
         // Rule of waits: told to wait, nothing goes to this route; each message of a call may tell.
         let wait_until = &mut self.routes[call.route].wait_until;
         *wait_until = (*wait_until).max(self.now + answer.wait.clamp(0, LONGEST));
-        if first && outcome != Outcome::Moot {
+        if first && outcome != Outcome::Moot && !self.is_noise(endpoint, outcome) {
             self.judge(endpoint, sent, answer, clean, overdue);
         }
         if done {
@@ -601,6 +605,18 @@
         self.next_of_key(key);
     }
 
+    /// An answer that cannot be read shows that the endpoint is there and serves: it pushes nothing back. Only
+    /// several in a row, with no success between, are laid to it as errors are.
+    fn is_noise(&mut self, endpoint: EndpointId, outcome: Outcome) -> bool {
+        let Some(place) = self.endpoints.get_mut(&endpoint) else { return false };
+        match outcome {
+            Outcome::Ok => place.spoilt = 0,
+            Outcome::Spoilt => place.spoilt += 1,
+            _ => {}
+        }
+        outcome == Outcome::Spoilt && place.spoilt < SPOILT_STREAK
+    }
+
     fn close_call(&mut self, id: CallId, outcome: Outcome) {
         let Some(call) = self.calls.remove(&id) else { return };
         let Some(place) = self.endpoints.get_mut(&call.endpoint) else { return };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -223,6 +223,8 @@
     ConnectFailed,
     /// The connection broke; may have taken effect.
     Reset,
+    /// An answer came that cannot be read; may have taken effect.
+    Spoilt,
     /// Called off; may have taken effect.
     Cancelled,
     /// Not sent at all.
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -3,46 +3,25 @@
 
 use super::reducer::{DoorAnswer, Handed, Input, Ticket};
 use crate::interface::Micros;
-use crate::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Semaphore, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
 
 /// Largest body that the protocol allows.
 const LARGEST_BODY: usize = 64 << 10;
 /// Longest id, class or tenant that is taken.
 const LONGEST_NAME: usize = 256;
-/// A client that has not sent its head, or then its body, by then is let go.
-const HEAD_TIME: Duration = Duration::from_secs(60);
-const BODY_TIME: Duration = Duration::from_secs(5);
-/// Bytes read ahead for one client.
-const READ_AHEAD: usize = 32 << 10;
-
-/// What the connections of the sender side are told together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Notice {
-    /// Go on.
-    Open,
-    /// Connections are short: an idle one closes. The number makes each notice new.
-    Crowded(u64),
-    /// The forwarder ends: each closes when its request is answered.
-    Ending,
-}
+/// A body that has not come by then does not come: a client itself gives up 400 ms after its request.
+const BODY_TIME: Duration = Duration::from_millis(600);
 
 /// The door between the sender side's connections and the reducer.
 pub struct Door {
@@ -74,7 +53,8 @@
         receiver.await.unwrap_or(DoorAnswer::Failed)
     }
 
-    fn tell(&self, input: Input) {
+    /// Reports to the reducer.
+    pub fn tell(&self, input: Input) {
         // The receiver is gone only when the forwarder ends.
         let _ = self.inputs.send(input);
     }
@@ -94,100 +74,6 @@
     }
 }
 
-/// Counts a connection as long as it lasts, also when its task panics.
-struct Joined(Rc<Door>);
-
-impl Joined {
-    fn new(door: Rc<Door>) -> Self {
-        door.tell(Input::Sender { joined: true });
-        Joined(door)
-    }
-}
-
-impl Drop for Joined {
-    fn drop(&mut self) {
-        self.0.tell(Input::Sender { joined: false });
-    }
-}
-
-/// Takes connections, `most` at once, for as long as it is polled. Runs in a `LocalSet`.
-pub async fn listen(listener: TcpListener, door: Rc<Door>, most: usize, notices: Rc<watch::Sender<Notice>>) {
-    let room = Arc::new(Semaphore::new(most));
-    for number in 0.. {
-        if room.available_permits() == 0 {
-            notices.send_if_modified(|notice| {
-                let open = *notice != Notice::Ending;
-                *notice = if open { Notice::Crowded(number) } else { *notice };
-                open
-            });
-        }
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (door, notices) = (door.clone(), notices.subscribe());
-                tokio::task::spawn_local(async move {
-                    let _counted = (permit, Joined::new(door.clone()));
-                    attend(stream, door, notices).await;
-                });
-            }
-            Err(error) => {
-                log!("sender side: a connection could not be taken: {error}");
-                sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
-/// Serves one client's connection to its end. What goes wrong here, a panic included, ends this one alone.
-async fn attend(stream: TcpStream, door: Rc<Door>, notices: watch::Receiver<Notice>) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log!("sender side: {error}");
-        return;
-    }
-    let busy = Rc::new(Cell::new(false));
-    let service = service_fn(|request| {
-        let (door, busy, ending) = (door.clone(), busy.clone(), *notices.borrow() == Notice::Ending);
-        async move {
-            busy.set(true);
-            let response = respond(&door, request, ending).await;
-            busy.set(false);
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        // A client that has ended its sending still wants its answer.
-        .half_close(true)
-        .max_buf_size(READ_AHEAD)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut news = notices.clone();
-    loop {
-        tokio::select! {
-            ended = &mut connection => {
-                if let Err(error) = ended
-                    && !error.is_incomplete_message()
-                    && !error.is_timeout()
-                {
-                    log!("sender side: {error}");
-                }
-                return;
-            }
-            changed = news.changed() => {
-                let notice = *news.borrow_and_update();
-                if changed.is_err() || notice == Notice::Ending || !busy.get() {
-                    connection.as_mut().graceful_shutdown();
-                    if let Err(error) = connection.await {
-                        log!("sender side: {error}");
-                    }
-                    return;
-                }
-            }
-        }
-    }
-}
-
 /// Why a request is not taken: the status and a few words.
 #[derive(Debug, PartialEq)]
 struct Fault(StatusCode, &'static str);
@@ -198,7 +84,12 @@
     response
 }
 
-async fn respond(door: &Door, request: Request<Incoming>, ending: bool) -> Response<Full<Bytes>> {
+/// Answers one request. An answer with `Connection: close` is the last: its client does not keep to the protocol.
+pub async fn respond(door: &Door, request: Request<Incoming>, ending: bool) -> Response<Full<Bytes>> {
+    if request.headers().contains_key(TRANSFER_ENCODING) {
+        // Beside a Content-Length it may hide another request in the body, and the library keeps only one of them.
+        return refuse(Fault(StatusCode::LENGTH_REQUIRED, "Content-Length alone says where a body ends\n"));
+    }
     if request.uri().path() == "/healthz" {
         return match (request.method(), ending) {
             (&Method::GET | &Method::HEAD, false) => plain(StatusCode::OK, "ready\n"),
@@ -208,10 +99,16 @@
     }
     match take(request).await {
         Ok(message) => tell(door.hand_in(message).await),
-        Err(Fault(status, words)) => plain(status, words),
+        Err(fault) => refuse(fault),
     }
 }
 
+fn refuse(Fault(status, words): Fault) -> Response<Full<Bytes>> {
+    let mut response = plain(status, words);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// Reads a message out of a request.
 async fn take(request: Request<Incoming>) -> Result<Handed, Fault> {
     let came = Instant::now();
@@ -245,7 +142,10 @@
 /// A message without its body yet.
 fn read_head(class: &str, headers: &HeaderMap) -> Result<Handed, Fault> {
     let name = |header: &str| {
-        let text = headers.get(header).and_then(|value| value.to_str().ok()).unwrap_or_default().trim();
+        let mut values = headers.get_all(header).iter();
+        // Of two that differ, another reader may take the other.
+        let only = values.next().filter(|_| values.next().is_none());
+        let text = only.and_then(|value| value.to_str().ok()).unwrap_or_default().trim();
         (!text.is_empty() && text.len() <= LONGEST_NAME).then(|| text.to_owned())
     };
     let txn = name("X-Txn").ok_or(bad("X-Txn: missing or malformed\n"))?;
@@ -255,6 +155,7 @@
     let remaining = remaining.ok_or(bad("X-Remaining: not seconds\n"))?;
     let consignee = name("X-Consignee").ok_or(bad("X-Consignee: missing or malformed\n"))?;
     let dest = consignee.split([',', ';', ' ']).find_map(|pair| pair.trim().strip_prefix("dest="));
+    let dest = dest.filter(|number| number.bytes().all(|byte| byte.is_ascii_digit()));
     let dest =
         dest.and_then(|number| number.parse().ok()).ok_or(bad("X-Consignee: no dest=NUMBER in it\n"))?;
     Ok(Handed {
@@ -314,6 +215,7 @@
             ("X-Remaining", "NaN", "X-Remaining"),
             ("X-Remaining", "-1", "X-Remaining"),
             ("X-Consignee", "dest=-7", "X-Consignee"),
+            ("X-Consignee", "dest=+7", "X-Consignee"),
             ("X-Consignee", "7", "X-Consignee"),
         ] {
             let Fault(status, said) = read_head("status", &headers(&[(name, value)])).expect_err(value);
@@ -322,6 +224,9 @@
         let mut none = headers(&[]);
         none.remove("X-Txn");
         assert!(read_head("status", &none).is_err());
+        let mut two = headers(&[]);
+        two.append("X-Txn", HeaderValue::from_static("9b1e"));
+        assert!(read_head("status", &two).is_err(), "which of the two ids is it?");
         let far = read_head("status", &headers(&[("X-Remaining", "1e300")])).expect("a long time");
         assert!(far.time_left > 0);
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,9 +4,11 @@
 
 pub mod cli;
 pub mod config;
+pub mod crowd;
 pub mod front;
 pub mod hop_call;
 pub mod journal;
+pub mod listener;
 pub mod log;
 pub mod next_hop;
 pub mod notices;
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -554,9 +554,11 @@
             }
             return message.waiting.push(ticket);
         }
-        if !self.names.classes.contains(&handed.class) {
+        let class = self.names.classes.iter().position(|class| *class == handed.class);
+        let Some(class) = class.and_then(|class| self.settings.classes.get(class)) else {
             return self.answer(ticket, DoorAnswer::UnknownClass);
-        }
+        };
+        let longest = class.deadline;
         if !self.hops.iter().any(|hop| hop.destination == handed.dest) {
             return self.answer(ticket, DoorAnswer::UnknownDestination);
         }
@@ -569,7 +571,8 @@
             class: handed.class,
             org: handed.org,
             dest: handed.dest,
-            deadline: now.saturating_add(handed.time_left),
+            // A client that says more than its class allows does not keep a message here for ever.
+            deadline: now.saturating_add(handed.time_left.min(longest)),
             attempts: 0,
             ran: None,
             out: None,
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -1,7 +1,8 @@
 //! The running forwarder: a clock, the reducer, and the effects that it asks for on sockets and files.
 
-use super::front::{self, Door, Notice};
+use super::front::Door;
 use super::journal::Journal;
+use super::listener::{self, Room};
 use super::next_hop::{self, Order};
 use super::pool::LinkId;
 use super::reducer::{Effect, Input, Reducer};
@@ -18,7 +19,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::watch;
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
@@ -51,7 +51,7 @@
     door: Rc<Door>,
     links: HashMap<LinkId, UnboundedSender<Order>>,
     inputs: UnboundedSender<Input>,
-    notices: Rc<watch::Sender<Notice>>,
+    room: Rc<Room>,
     /// The task that follows discovery's list, once there is one.
     watch: Option<AbortHandle>,
     /// The task that takes connections, once there is one.
@@ -97,7 +97,7 @@
             Effect::Log { line } => log!("{line}"),
             Effect::CloseDoor => {
                 self.listening.take().iter().for_each(AbortHandle::abort);
-                self.notices.send_replace(Notice::Ending);
+                self.room.end();
             }
             Effect::Exit => self.ending = true,
         }
@@ -141,15 +141,14 @@
     log!("{} starts: {} records in its journal", config.name, records.len());
     let mut reducer = Reducer::new(config, records, size, clock.now());
     let door = Door::new(inputs.clone());
-    let (notices, _) = watch::channel(Notice::Open);
-    let notices = Rc::new(notices);
+    let room = Room::new(most_clients);
     let mut hands = Hands {
         clock,
         journal,
         door: door.clone(),
         links: HashMap::new(),
         inputs: inputs.clone(),
-        notices: notices.clone(),
+        room: room.clone(),
         watch: None,
         listening: None,
         ending: false,
@@ -158,7 +157,7 @@
     hands.take(&mut reducer, Input::Alarm);
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     log!("listens on {}", listener.local_addr()?);
-    let listening = spawn_local(front::listen(listener, door, most_clients, notices));
+    let listening = spawn_local(listener::listen(listener, door, room));
     hands.listening = Some(listening.abort_handle());
     spawn_local(signals.report(inputs.clone()));
     spawn_local(reloads.report(source, inputs));
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -270,6 +270,22 @@
     assert_eq!(sends(&bench.hand_in(1, 0, 5)).len(), 1);
 }
 
+#[test]
+fn a_spoilt_answer_is_no_push_back_until_they_come_in_a_row() {
+    let mut bench = Bench::new(settings(), &[entry(1, 7, 0, 0)]);
+    bench.warm_up(7, 8);
+    let sent = sends(&bench.hand_in(7, 2, 2));
+    assert_eq!(sent.len(), 2, "the window is two");
+    let over = bench.end(sent[0].0, Outcome::Spoilt);
+    assert_eq!(failed(&over), [sent[0].0], "it may have run");
+    bench.end(sent[1].0, Outcome::Spoilt);
+    let sent = sends(&bench.hand_in(7, 2, 2));
+    assert_eq!(sent.len(), 2, "the window still is");
+    bench.end(sent[0].0, Outcome::Spoilt);
+    bench.end(sent[1].0, Outcome::Spoilt);
+    assert!(sends(&bench.hand_in(7, 2, 2)).is_empty(), "four in a row are pushed back");
+}
+
 #[test]
 fn moot_is_no_verdict() {
     let mut bench = Bench::new(settings(), &[entry(1, 1, 0, 0)]);
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -324,3 +324,71 @@
     forwarder.kill();
     std::fs::remove_dir_all(&folder).expect("cleans up");
 }
+
+/// Sends this on a connection of its own, then perhaps so much more at full speed, and reads to the end.
+fn bad_client(address: SocketAddr, text: &str, more: usize) -> String {
+    let mut stream = TcpStream::connect(address).expect("it takes connections");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    stream.write_all(text.as_bytes()).expect("written");
+    let mut sending = stream.try_clone().expect("a socket");
+    let sender = thread::spawn(move || {
+        let chunk = [b'a'; 60_000];
+        (0..more / chunk.len()).all(|_| sending.write_all(&chunk).is_ok())
+    });
+    let mut heard = Vec::new();
+    let mut chunk = [0; 1024];
+    while let Ok(count @ 1..) = stream.read(&mut chunk) {
+        heard.extend_from_slice(&chunk[..count]);
+    }
+    let sent = sender.join().expect("it sends");
+    assert!(sent || more != 60_000_000, "it is let send to the end, so that no reset overtakes its answer");
+    String::from_utf8_lossy(&heard).into_owned()
+}
+
+// Guards against clients that hold a connection for ever, are never told, or hide a request where only one end sees
+// it; and against any of it reaching a next hop. Each read here ends by the forwarder's close, in any case.
+#[test]
+fn what_cannot_be_read_is_refused_and_closed() {
+    let (hop, calls) = far_end(|_| Some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    let (platform, _notices) = platform();
+    let folder = folder("rude", hop, platform);
+    let forwarder = Forwarder::start(&folder);
+    let head =
+        "POST /status HTTP/1.1\r\nX-Txn: bad\r\nX-Org: acme\r\nX-Remaining: 5\r\nX-Consignee: dest=2\r\n";
+    let hidden = "POST /status HTTP/1.1\r\nX-Txn: hidden\r\nX-Org: acme\r\nX-Remaining: 5\r\n\
+        X-Consignee: dest=2\r\nContent-Length: 0\r\n\r\n";
+    let both = format!(
+        "Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+        hidden.len() + 5
+    );
+    let other = format!("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n{hidden}");
+    let cases = [
+        (String::new(), 0, ""),
+        ("POST /sta".to_owned(), 0, ""),
+        (format!("{head}Content-Length: 100\r\n\r\nhalf"), 0, "408"),
+        (format!("{head}Content-Length: -5\r\n\r\n"), 0, "400"),
+        (format!("{head}Content-Length: 99999999999999999999999\r\n\r\n"), 0, "400"),
+        (format!("{head}Content-Length: 60000000\r\n\r\n"), 60_000_000, "413"),
+        (format!("{head}X-Fill: "), 600_000, "431"),
+        (format!("{head}{both}"), 0, "411"),
+        (format!("{head}{other}"), 0, "411"),
+        (format!("GET /healthz HTTP/1.1\r\n{both}"), 0, "411"),
+        ("\u{1}\u{2} noise\r\n\r\n".to_owned(), 0, "400"),
+        (format!("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\nnoise\r\n\r\n{hidden}"), 0, "200"),
+    ];
+    thread::scope(|scope| {
+        for (text, more, status) in &cases {
+            let address = forwarder.address;
+            scope.spawn(move || {
+                let heard = bad_client(address, text, *more);
+                assert_eq!(heard.split(' ').nth(1).unwrap_or_default(), *status, "{text}: {heard}");
+                assert!(heard.matches("HTTP/1.1 202").count() == 0, "{text}: {heard}");
+            });
+        }
+    });
+    assert_eq!(forwarder.hand_in("status", "good"), 202);
+    let first = next(&calls, "x-txn");
+    assert!(first.contains("x-txn: good"), "none of theirs goes on: {first}");
+    forwarder.kill();
+    std::fs::remove_dir_all(&folder).expect("cleans up");
+}
