Forget endpoints that are gone, and hold no read buffers with the messages

At fault: front.rs kept a body as a slice of the connection's read buffer (8 KB and more for some hundred bytes); reducer.rs (`hops`, `hop_numbers`) and control.rs (`endpoints`, `routes`, the destinations' lists) never forgot an endpoint. Giving up "the bytes that came" for this copy of at most 64 KB is deliberate: its content goes on unchanged, and it is the only copy.

--- a/src/control.rs
+++ b/src/control.rs
@@ -113,6 +113,8 @@
     kind: usize,
     batch: usize,
     usable: bool,
+    /// The list names it no more.
+    gone: bool,
     in_flight: usize,
     idle: Vec<Micros>,
     streak: u32,
@@ -310,8 +312,10 @@
             Health::Warming(since) => self.now - since < self.set.warm_within,
             Health::Good => route.failing && route.streak >= 2,
         };
-        let places = self.endpoints.values().filter(|place| troubled(&self.routes[place.route]));
-        places.map(|place| place.destination).collect()
+        let apart = self.endpoints.values().map(|place| (place.destination, place.route));
+        // A destination in trouble may have no endpoint just now.
+        let shared = self.destinations.iter().filter_map(|(id, d)| d.shared.map(|route| (*id, route)));
+        apart.chain(shared).filter(|(_, route)| troubled(&self.routes[*route])).map(|(id, _)| id).collect()
     }
 
     /// Takes in all events of a batch, then decides once. `now` never goes back.
@@ -326,6 +330,7 @@
         self.make_room(actions);
         self.send_all(actions);
         self.close_idle(actions);
+        self.forget_gone();
         self.set_timer(actions);
     }
 
@@ -388,7 +393,7 @@
             (self.ask_at, self.ask_failures) = (Micros::MAX, 0);
         }
         if form != ListForm::Changes {
-            self.endpoints.values_mut().for_each(|e| e.usable = false);
+            self.endpoints.values_mut().for_each(|e| (e.usable, e.gone) = (false, true));
         }
         entries.iter().for_each(|entry| self.take_entry(entry));
     }
@@ -396,16 +401,21 @@
     fn take_entry(&mut self, entry: &Entry) {
         let kind = self.set.kinds.get(entry.kind).copied().unwrap_or(Kind { batch: 1, apart: false });
         let destination = self.destinations.entry(entry.destination).or_default();
+        let shared = destination.shared.filter(|_| !kind.apart);
         if let Some(known) = self.endpoints.get_mut(&entry.endpoint) {
             known.usable = entry.state == Listed::On && known.destination == entry.destination;
+            known.gone = entry.state == Listed::Gone;
             (known.zone, known.kind, known.batch) = (entry.zone, entry.kind, kind.batch.max(1));
+            known.route = shared.unwrap_or(known.route);
             self.routes[known.route].weight = entry.weight;
             return;
         }
-        let route = destination.shared.filter(|_| !kind.apart).unwrap_or(self.routes.len());
-        if route == self.routes.len() {
-            self.routes.push(Route::new(self.now));
+        if entry.state == Listed::Gone {
+            return;
         }
+        let stays = destination.endpoints.iter().any(|e| !self.endpoints[e].gone);
+        let route = shared.filter(|_| stays).unwrap_or_else(|| self.new_route(shared));
+        let destination = self.destinations.entry(entry.destination).or_default();
         destination.shared = (!kind.apart).then_some(route);
         destination.endpoints.push(entry.endpoint);
         let (batch, usable) = (kind.batch.max(1), entry.state == Listed::On);
@@ -415,6 +425,41 @@
         self.endpoints.insert(entry.endpoint, place);
     }
 
+    /// A new endpoint with no other beside it starts anew: what those before it did is not its doing. Two things
+    /// are the destination's own: a wait that it told, and that it comes back cold.
+    fn new_route(&mut self, before: Option<RouteId>) -> RouteId {
+        let mut new = Route::new(self.now);
+        if let Some(before) = before.map(|route| &self.routes[route]) {
+            new.wait_until = before.wait_until;
+            new.health = if before.health == Health::Good { Health::Good } else { Health::Warming(self.now) };
+        }
+        let used: BTreeSet<RouteId> = self.endpoints.values().map(|e| e.route).collect();
+        let shared: BTreeSet<RouteId> = self.destinations.values().filter_map(|d| d.shared).collect();
+        let free = |id: &RouteId| {
+            let kept = shared.contains(id) && before != Some(*id);
+            !kept && !used.contains(id) && self.routes[*id].in_flight == 0
+        };
+        let place = (0..self.routes.len()).find(free).unwrap_or(self.routes.len());
+        if place == self.routes.len() {
+            self.routes.push(new)
+        } else {
+            self.routes[place] = new
+        }
+        place
+    }
+
+    /// Endpoints that are gone are forgotten once nothing of theirs is out and no wait of theirs runs.
+    fn forget_gone(&mut self) {
+        self.endpoints.retain(|id, place| {
+            let wait = self.routes[place.route].wait_until;
+            let over = place.gone && place.in_flight == 0 && wait <= self.now;
+            if over && let Some(destination) = self.destinations.get_mut(&place.destination) {
+                destination.endpoints.retain(|other| other != id);
+            }
+            !over
+        });
+    }
+
     /// Where the list comes on request: watch at start, ask again after a failure or silence.
     fn follow_list(&mut self, actions: &mut Vec<Action>) {
         if self.set.directory != Directory::OnRequest || self.now < self.ask_at {
@@ -579,9 +624,14 @@
         call.open -= 1;
         let (done, clean, overdue) = (call.open == 0, call.clean, call.overdue);
         let first = !std::mem::replace(&mut call.judged, true);
-        // Rule of waits: told to wait, nothing goes to this route; each message of a call may tell.
-        let wait_until = &mut self.routes[call.route].wait_until;
-        *wait_until = (*wait_until).max(self.now + answer.wait.clamp(0, LONGEST));
+        // Rule of waits: told to wait, nothing goes to this route; each message of a call may tell. A destination's
+        // wait holds for the endpoints that have come since, too.
+        let shared =
+            self.endpoints.get(&endpoint).and_then(|e| self.destinations.get(&e.destination)?.shared);
+        for route in [Some(call.route), shared].into_iter().flatten() {
+            let wait_until = &mut self.routes[route].wait_until;
+            *wait_until = (*wait_until).max(self.now + answer.wait.clamp(0, LONGEST));
+        }
         if first && outcome != Outcome::Moot && !self.is_noise(endpoint, outcome) {
             self.judge(endpoint, sent, answer, clean, overdue);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -223,7 +223,8 @@
     ConnectFailed,
     /// The connection broke; may have taken effect.
     Reset,
-    /// An answer came that cannot be read; may have taken effect.
+    /// Spoilt on the way back: an answer came that cannot be read, or a kept connection closed under the call;
+    /// may have taken effect.
     Spoilt,
     /// Called off; may have taken effect.
     Cancelled,
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -130,7 +130,8 @@
         let large = error.is::<LengthLimitError>();
         if large { TOO_LARGE } else { Fault(StatusCode::BAD_REQUEST, "the body could not be read\n") }
     })?;
-    message.body = body.to_bytes();
+    // A slice of what was read ahead would hold all of that in memory as long as the message is held.
+    message.body = Bytes::copy_from_slice(&body.to_bytes());
     // The time to deliver it counts from when the client sent it.
     message.time_left -= came.elapsed().as_micros() as Micros;
     Ok(message)
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -281,6 +281,7 @@
 }
 
 /// The state of one forwarder. See [`Reducer::step`].
+#[derive(Debug)]
 pub struct Reducer {
     settings: Settings,
     names: Names,
@@ -300,7 +301,11 @@
     posting: usize,
     post_at: Micros,
     map: TransportMap,
-    hops: Vec<Hop>,
+    /// Endpoints that the list names, and others for as long as something of theirs is out.
+    hops: BTreeMap<EndpointId, Hop>,
+    next_hop: EndpointId,
+    /// Destinations that some list has named.
+    destinations: BTreeSet<DestinationId>,
     hop_numbers: HashMap<String, EndpointId>,
     waits: BTreeMap<DestinationId, Micros>,
     /// Destinations in trouble, as the journal has them.
@@ -416,7 +421,9 @@
             posting: 0,
             post_at: now,
             map: TransportMap::default(),
-            hops: Vec::new(),
+            hops: BTreeMap::new(),
+            next_hop: 0,
+            destinations: BTreeSet::new(),
             hop_numbers: HashMap::new(),
             waits: BTreeMap::new(),
             troubled: left.troubled,
@@ -559,7 +566,7 @@
             return self.answer(ticket, DoorAnswer::UnknownClass);
         };
         let longest = class.deadline;
-        if !self.hops.iter().any(|hop| hop.destination == handed.dest) {
+        if !self.destinations.contains(&handed.dest) {
             return self.answer(ticket, DoorAnswer::UnknownDestination);
         }
         let full = self.settings.max_open > 0 && self.messages.len() >= self.settings.max_open;
@@ -808,10 +815,11 @@
     fn take_list(&mut self, news: &News, form: ListForm) {
         let mut entries = Vec::new();
         for target in &news.targets {
-            let next = self.hops.len() as EndpointId;
-            let hop = *self.hop_numbers.entry(target.uid.clone()).or_insert(next);
-            if hop == next {
-                self.hops.push(Hop { uid: target.uid.clone(), destination: target.pod_group });
+            let hop = *self.hop_numbers.entry(target.uid.clone()).or_insert(self.next_hop);
+            if hop == self.next_hop {
+                self.next_hop += 1;
+                self.hops.insert(hop, Hop { uid: target.uid.clone(), destination: target.pod_group });
+                self.destinations.insert(target.pod_group);
             }
             if self.map.get(&target.uid).is_some_and(|known| known.endpoint != target.endpoint) {
                 self.close_idle(hop);
@@ -830,6 +838,20 @@
         self.events.push(Event::List { form, entries });
     }
 
+    /// An endpoint that the list names no more is forgotten when nothing of it is out, and its connections close:
+    /// another at its address is another endpoint.
+    fn forget_hops(&mut self) {
+        let gone = self.hops.iter().filter(|(_, hop)| self.map.get(&hop.uid).is_none()).map(|(id, _)| *id);
+        for id in gone.collect::<Vec<_>>() {
+            self.close_idle(id);
+            if !self.flights.values().any(|flight| flight.hop == id)
+                && let Some(hop) = self.hops.remove(&id)
+            {
+                self.hop_numbers.remove(&hop.uid);
+            }
+        }
+    }
+
     fn close_idle(&mut self, hop: EndpointId) {
         for link in self.pool.drop_idle(hop) {
             self.effects.push(Effect::Close { link });
@@ -866,6 +888,7 @@
         self.keep_troubled();
         self.take_on();
         self.send(now, sends);
+        self.forget_hops();
     }
 
     /// What the module knows of destinations in trouble outlasts the process.
@@ -927,14 +950,14 @@
     }
 
     fn batch(&self, hop: EndpointId) -> usize {
-        let target = self.hops.get(hop as usize).and_then(|hop| self.map.get(&hop.uid));
+        let target = self.hops.get(&hop).and_then(|hop| self.map.get(&hop.uid));
         let kind = target.and_then(|t| self.names.kinds.iter().position(|kind| *kind == t.model));
         kind.and_then(|kind| self.settings.kinds.get(kind)).map_or(1, |kind| kind.batch.max(1))
     }
 
     fn dial(&mut self, now: Micros, call: CallId, link: LinkId) {
         let Some(flight) = self.flights.get(&call) else { return };
-        let target = self.hops.get(flight.hop as usize).and_then(|hop| self.map.get(&hop.uid));
+        let target = self.hops.get(&flight.hop).and_then(|hop| self.map.get(&hop.uid));
         let Some(target) = target else {
             self.pool.closed(link);
             return self.not_sent(now, call);
@@ -948,7 +971,7 @@
     /// A connection is there: whether the call may still go is decided now, and its record comes first.
     fn begin(&mut self, now: Micros, call: CallId, link: LinkId) {
         let Some(flight) = self.flights.get_mut(&call) else { return };
-        let Some(hop) = self.hops.get(flight.hop as usize) else { return };
+        let Some(hop) = self.hops.get(&flight.hop) else { return };
         let in_service = self.map.get(&hop.uid).is_some_and(|t| t.state == State::InService);
         let waiting = self.waits.get(&hop.destination).is_some_and(|until| *until > now);
         let (gone, parts): (Vec<_>, Vec<_>) = std::mem::take(&mut flight.parts)
@@ -1010,7 +1033,7 @@
         let Some(flight) = call.and_then(|call| self.flights.remove(&call)) else { return };
         let wait = Micros::try_from(reply.wait_ms).unwrap_or(Micros::MAX / 2000).saturating_mul(1000);
         if wait > 0
-            && let Some(hop) = self.hops.get(flight.hop as usize)
+            && let Some(hop) = self.hops.get(&flight.hop)
         {
             let until = self.waits.entry(hop.destination).or_default();
             *until = (*until).max(now.saturating_add(wait));
@@ -1042,11 +1065,14 @@
             return self.dial(now, call, link);
         }
         let Some(flight) = self.flights.remove(&call) else { return };
-        if let Some(hop) = self.hops.get(flight.hop as usize) {
+        // The other end closes a kept connection when it likes: that pushes nothing back.
+        let closed = flight.reused && error.outcome() == Outcome::Reset;
+        let outcome = if closed { Outcome::Spoilt } else { error.outcome() };
+        if let Some(hop) = self.hops.get(&flight.hop) {
             self.log(format!("next hop {}: {error}", hop.uid));
         }
         for part in flight.parts {
-            self.report(now, part, error.outcome(), flight.sent, Told::default());
+            self.report(now, part, outcome, flight.sent, Told::default());
         }
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -286,6 +286,48 @@
     assert!(sends(&bench.hand_in(7, 2, 2)).is_empty(), "four in a row are pushed back");
 }
 
+// Guards against an endpoint judged by the one before it, at a destination of one; and against what the destination
+// itself has said or suffered being forgotten with it.
+#[test]
+fn a_new_endpoint_with_none_beside_it_starts_anew() {
+    let gone = |id| Entry { state: Listed::Gone, ..entry(id, 7, 0, 0) };
+    let mut bench = Bench::new(settings(), &[entry(1, 7, 0, 0)]);
+    bench.warm_up(7, 8);
+    assert_eq!(sends(&bench.hand_in(7, 0, 3)).len(), 2, "the window is two");
+    bench.list(ListForm::Changes, &[gone(1)]);
+    let sent = sends(&bench.list(ListForm::Changes, &[entry(2, 7, 0, 0)]));
+    assert_eq!(
+        sent.iter().map(|sent| sent.1).collect::<Vec<_>>(),
+        [2],
+        "one, beside two still out at the old one"
+    );
+    let mut answer = bench.answer(sent[0].0, Outcome::Full);
+    answer.wait = S;
+    bench.step(&[Event::Outcome(answer)]);
+    bench.list(ListForm::Changes, &[gone(2)]);
+    assert!(sends(&bench.list(ListForm::Changes, &[entry(3, 7, 0, 0)])).is_empty(), "the wait stands");
+    assert_eq!(sends(&bench.later(S)).len(), 1);
+}
+
+// Guards against memory that grows with every endpoint that ever was.
+#[test]
+fn endpoints_that_are_gone_are_forgotten() {
+    let mut bench = Bench::new(settings(), &[entry(1, 7, 0, 0), entry(2, 8, 0, 1)]);
+    let mut sizes = Vec::new();
+    for id in 1..200 {
+        bench.now += S;
+        let sent = sends(&bench.hand_in(7, 0, 1));
+        let gone = |id, dest, kind| Entry { state: Listed::Gone, ..entry(id, dest, 0, kind) };
+        let (old, new) = (2 * id - 1, 2 * id + 1);
+        bench.list(ListForm::Changes, &[entry(new, 7, 0, 0), entry(new + 1, 8, 0, 1)]);
+        bench.list(ListForm::Changes, &[gone(old, 7, 0), gone(old + 1, 8, 1)]);
+        sent.iter().for_each(|sent| drop(bench.end(sent.0, Outcome::Ok)));
+        sizes.push(format!("{:?}", bench.controller).len());
+    }
+    // A few more digits in the numbers, and no more.
+    assert!(sizes[198] < sizes[50] * 11 / 10, "{} and then {}", sizes[50], sizes[198]);
+}
+
 #[test]
 fn moot_is_no_verdict() {
     let mut bench = Bench::new(settings(), &[entry(1, 1, 0, 0)]);
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -604,3 +604,34 @@
     assert_eq!(asked(&mut file, config(4, old), None), 4, "the file as it is now");
     assert_eq!(asked(&mut file, config(4, new), None), 5);
 }
+
+// Guards against memory that grows with every endpoint, message and id that ever was, and against a connection kept
+// to an endpoint that is gone: another may have its address.
+#[test]
+fn what_is_over_leaves_nothing_behind() {
+    let mut world = World::new();
+    let mut sizes = Vec::new();
+    for number in 0..400 {
+        world.hand_in(format!("m{number}"), true, 2, 10);
+        world.wait(10_000);
+        if number % 2 == 0 {
+            world.step(0, Step::Connect { which: number, up: true });
+            world.answer(0, 0);
+        }
+        let old = Target { state: State::Terminated, ..world.list[2].clone() };
+        world.list[2].uid = format!("s-new{number}");
+        let targets = vec![old, world.list[2].clone()];
+        world.rev += 1;
+        world.input(Input::News(News { rev: world.rev, all: false, targets }));
+        world.wait(100_000);
+        assert!(world.links.values().all(|link| link.call.is_some() || !link.up), "none is kept");
+        world.wait(4 * S);
+        while world.posting.is_some() {
+            world.post(true);
+        }
+        sizes.push(format!("{:?}", world.reducer).len());
+    }
+    let most = |part: &[usize]| part.iter().copied().max().unwrap_or_default();
+    let (early, late) = (most(&sizes[50..100]), most(&sizes[350..]));
+    assert!(late < early * 11 / 10, "{early} and then {late}");
+}
