--- a/src/node/hop_call.rs
+++ b/src/node/hop_call.rs
@@ -92,7 +92,7 @@
 pub struct End {
     /// How the attempt ended.
     pub outcome: Outcome,
-    /// Nothing more is owed for the message.
+    /// The message is over, by the word of the next hop.
     pub over: bool,
 }
 
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -707,7 +707,7 @@
         }
     }
 
-    /// Delivered, or over by the word of a next hop.
+    /// Delivered: nothing more is owed.
     fn over(&mut self, now: Micros, id: MessageId) {
         let Some(message) = self.messages.get(&id) else { return };
         let txn = message.taken.txn.clone();
@@ -1095,7 +1095,9 @@
         let told = Told { wait, limit: reply.limit, left: reply.left };
         for (part, end) in ends {
             if end.over {
-                self.over(now, part.0);
+                // Over for the next hop, as of a client that has gone. Whether the platform still waits for an end
+                // is not known here, and a notice for what is over does no harm.
+                self.end(now, part.0, Verdict::Failed);
             }
             self.report(now, *part, end.outcome, flight.sent, told);
         }
@@ -1133,7 +1135,11 @@
     /// An attempt has ended: into the journal, and to the module.
     fn report(&mut self, now: Micros, part: (MessageId, u32), outcome: Outcome, sent: Micros, told: Told) {
         let (id, copy) = part;
-        if outcome == Outcome::Ok {
+        if outcome == Outcome::Ok && self.messages.get(&id).is_some_and(|m| m.taken.deadline <= now) {
+            // It came after the message's time, or was read late: whether it still counts is not known here, and a
+            // notice for what is over does no harm.
+            self.end(now, id, Verdict::Failed);
+        } else if outcome == Outcome::Ok {
             self.over(now, id);
         } else if let Some(message) = self.messages.get(&id) {
             let txn = message.taken.txn.clone();
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -635,3 +635,30 @@
     let (early, late) = (most(&sizes[50..100]), most(&sizes[350..]));
     assert!(late < early * 11 / 10, "{early} and then {late}");
 }
+
+// Guards against a message without an end: its answer came after its time, in the same moment in which a forwarder
+// that had no processor for a while looked again.
+#[test]
+fn an_answer_after_the_messages_time_leaves_no_end_owed() {
+    let mut world = World::new();
+    world.hand_in("late".to_owned(), true, 2, 10);
+    world.wait(10_000);
+    world.step(0, Step::Connect { which: 0, up: true });
+    world.now += 28 * S;
+    world.answer(0, 0);
+    assert_eq!(world.posting.clone().expect("a notice"), [("late".to_owned(), Verdict::Failed)]);
+}
+
+// Guards against a message that no one ends: a next hop called it over (its client had gone), and the platform still
+// waited for its notice.
+#[test]
+fn a_message_called_over_is_ended_all_the_same() {
+    let mut world = World::new();
+    world.hand_in("gone".to_owned(), true, 2, 10);
+    world.wait(10_000);
+    world.step(0, Step::Connect { which: 0, up: true });
+    let link = world.pick(0, |l| l.call.is_some()).expect("out");
+    let reply = Reply { status: 410, ..Reply::default() };
+    world.input(Input::Answered { link, reply, reusable: true });
+    assert_eq!(world.posting.clone().expect("a notice"), [("gone".to_owned(), Verdict::Failed)]);
+}
