End what a shared call leaves open when it is answered after one of its messages

Calls answered before any of their messages was out of time were never lost.

Now such an answer is followed by a notice, which does no harm where the delivery counts.

--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -262,6 +262,8 @@
     wait: Micros,
     limit: Option<f64>,
     left: Option<f64>,
+    /// It came after the time of a message in its call.
+    late: bool,
 }
 
 /// About the bytes that a snapshot takes up for messages, and for ids that are over or owed.
@@ -1092,7 +1094,9 @@
             Outcome::Moot => 2,
             _ => 0,
         });
-        let told = Told { wait, limit: reply.limit, left: reply.left };
+        let over = |(id, _): &(MessageId, u32)| self.messages.get(id).is_none_or(|m| m.taken.deadline <= now);
+        let late = flight.parts.iter().any(over);
+        let told = Told { wait, limit: reply.limit, left: reply.left, late };
         for (part, end) in ends {
             if end.over {
                 // Over for the next hop, as of a client that has gone. Whether the platform still waits for an end
@@ -1135,9 +1139,9 @@
     /// An attempt has ended: into the journal, and to the module.
     fn report(&mut self, now: Micros, part: (MessageId, u32), outcome: Outcome, sent: Micros, told: Told) {
         let (id, copy) = part;
-        if outcome == Outcome::Ok && self.messages.get(&id).is_some_and(|m| m.taken.deadline <= now) {
-            // It came after the message's time, or was read late: whether it still counts is not known here, and a
-            // notice for what is over does no harm.
+        if outcome == Outcome::Ok && told.late {
+            // It came after the time of this message or of another in its call, or was read late: whether it still
+            // counts is not known here, and a notice for what is over does no harm.
             self.end(now, id, Verdict::Failed);
         } else if outcome == Outcome::Ok {
             self.over(now, id);
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -662,3 +662,18 @@
     world.input(Input::Answered { link, reply, reusable: true });
     assert_eq!(world.posting.clone().expect("a notice"), [("gone".to_owned(), Verdict::Failed)]);
 }
+
+// Guards against orders without an end: the call that they shared with a status was answered after the status had run
+// out of time, and the platform took none of that answer.
+#[test]
+fn an_answer_later_than_one_of_its_messages_leaves_no_end_owed() {
+    let mut world = World::new();
+    world.hand_in("order".to_owned(), true, 1, 10);
+    world.hand_in("status".to_owned(), false, 1, 10);
+    world.wait(10_000);
+    world.step(1, Step::Connect { which: 0, up: true });
+    world.wait(8 * S + 100_000);
+    world.post(true);
+    world.answer(0, 0);
+    assert_eq!(world.posting.clone().expect("a notice"), [("order".to_owned(), Verdict::Failed)]);
+}
