--- a/src/control.rs
+++ b/src/control.rs
@@ -425,8 +425,8 @@
         self.endpoints.insert(entry.endpoint, place);
     }
 
-    /// A new endpoint with no other beside it starts anew: what those before it did is not its doing. Two things
-    /// are the destination's own: a wait that it told, and that it comes back cold.
+    /// A new endpoint with no other beside it starts anew: what those before it did is not its doing.
+    /// Two things are the destination's own: a wait that it told, and that it comes back cold.
     fn new_route(&mut self, before: Option<RouteId>) -> RouteId {
         let mut new = Route::new(self.now);
         if let Some(before) = before.map(|route| &self.routes[route]) {
@@ -624,8 +624,8 @@
         call.open -= 1;
         let (done, clean, overdue) = (call.open == 0, call.clean, call.overdue);
         let first = !std::mem::replace(&mut call.judged, true);
-        // Rule of waits: told to wait, nothing goes to this route; each message of a call may tell. A destination's
-        // wait holds for the endpoints that have come since, too.
+        // Rule of waits: told to wait, nothing goes to this route; each message of a call may tell. A
+        // destination's wait holds for the endpoints that have come since, too.
         let shared =
             self.endpoints.get(&endpoint).and_then(|e| self.destinations.get(&e.destination)?.shared);
         for route in [Some(call.route), shared].into_iter().flatten() {
@@ -655,8 +655,8 @@
         self.next_of_key(key);
     }
 
-    /// An answer that cannot be read shows that the endpoint is there and serves: it pushes nothing back. Only
-    /// several in a row, with no success between, are laid to it as errors are.
+    /// An answer that cannot be read shows that the endpoint is there and serves: it pushes nothing
+    /// back. Only several in a row, with no success between, are laid to it as errors are.
     fn is_noise(&mut self, endpoint: EndpointId, outcome: Outcome) -> bool {
         let Some(place) = self.endpoints.get_mut(&endpoint) else { return false };
         match outcome {
