Take a list from a catalogue too, and mind what health checks report of endpoints

Need: installations that keep endpoints in Consul want its catalogue and health; the forwarder had one source of the list, bound to discovery, and heard nothing of health. Change: a Catalogue interface in node/src/source.rs beside discovery's watch; news carry the number of their watch and the list its origin, so nothing that an old source still tells is taken. Endpoints gone are kept as a set: looking at all of them each turn was linear in the list.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -4,6 +4,7 @@
 //! flight, grown by a clean first try, halved by any push-back. The rest keeps the rules.
 
 use crate::interface::*;
+use crate::traffic::Count;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const SECOND: Micros = 1_000_000;
@@ -28,9 +29,6 @@
 const SHUT_SILENCE: Micros = 6 * SECOND;
 /// A failed connection tells for so long that endpoints of its kind are short of connections.
 const CROWDED: Micros = 60 * SECOND;
-/// Time over which the calls served are counted, and the least: one call is no rate.
-const TRAFFIC_SPAN: Micros = 60 * SECOND;
-const TRAFFIC_LEAST: f64 = 5.0 * SECOND as f64;
 /// A call is overdue after its usual time plus this many mean deviations (four, as TCP's RTO).
 const DEVIATIONS: f64 = 4.0;
 /// Usual time of a destination never heard of, in microseconds: a slow system's answer and a handshake.
@@ -115,6 +113,9 @@
     usable: bool,
     /// The list names it no more.
     gone: bool,
+    /// What health checks report, and whether they call a sister fitter.
+    report: Report,
+    passed_over: bool,
     in_flight: usize,
     idle: Vec<Micros>,
     streak: u32,
@@ -131,26 +132,6 @@
     in_flight: usize,
 }
 
-#[derive(Debug, Default)]
-struct Count {
-    events: f64,
-    since: Micros,
-}
-
-impl Count {
-    /// Events a second since then; half is forgotten after [`TRAFFIC_SPAN`].
-    fn rate(&self, now: Micros) -> f64 {
-        self.events * SECOND as f64 / ((now - self.since) as f64).max(TRAFFIC_LEAST)
-    }
-
-    fn add(&mut self, now: Micros) {
-        if now - self.since > TRAFFIC_SPAN {
-            (self.events, self.since) = (self.events / 2.0, now - (now - self.since) / 2);
-        }
-        self.events += 1.0;
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Health {
     #[default]
@@ -189,12 +170,14 @@
     /// Where the budget is under one call: the next draw, and whether the last lets a call go in this step.
     draw_at: Micros,
     drawn: Option<Micros>,
+    /// Health checks have left it no endpoint that is fit.
+    unfit: bool,
 }
 
 impl Route {
     fn new(now: Micros) -> Self {
         let (usual, deviation) = (UNKNOWN_USUAL, UNKNOWN_USUAL / 2.0);
-        let served = Count { events: 1.0, since: now };
+        let served = Count::starting(1.0, now);
         Route { window: 1.0, usual, deviation, served, ..Route::default() }
     }
 
@@ -396,6 +379,28 @@
             self.endpoints.values_mut().for_each(|e| (e.usable, e.gone) = (false, true));
         }
         entries.iter().for_each(|entry| self.take_entry(entry));
+        let told: BTreeSet<DestinationId> = entries.iter().map(|entry| entry.destination).collect();
+        told.into_iter().for_each(|destination| self.mind_reports(destination));
+    }
+
+    /// Health checks: a critical endpoint is passed over while its destination has one that is fit. A route that
+    /// they leave none is out until a call ends well: calls overrule a bad report, and no good one opens it.
+    fn mind_reports(&mut self, destination: DestinationId) {
+        let Some(ids) = self.destinations.get(&destination).map(|d| d.endpoints.clone()) else { return };
+        let places = ids.iter().map(|id| &self.endpoints[id]);
+        let fit = places.filter(|e| e.usable && e.report != Report::Critical);
+        let fit: BTreeSet<RouteId> = fit.map(|e| e.route).collect();
+        for id in ids {
+            let Some(place) = self.endpoints.get_mut(&id) else { continue };
+            let critical = place.report == Report::Critical;
+            place.passed_over = critical && !fit.is_empty();
+            let route = &mut self.routes[place.route];
+            let unfit = !fit.contains(&place.route) && (critical || route.unfit);
+            if unfit && !route.unfit {
+                route.health = Health::Out;
+            }
+            route.unfit = unfit;
+        }
     }
 
     fn take_entry(&mut self, entry: &Entry) {
@@ -406,6 +411,7 @@
             known.usable = entry.state == Listed::On && known.destination == entry.destination;
             known.gone = entry.state == Listed::Gone;
             (known.zone, known.kind, known.batch) = (entry.zone, entry.kind, kind.batch.max(1));
+            known.report = entry.report;
             known.route = shared.unwrap_or(known.route);
             self.routes[known.route].weight = entry.weight;
             return;
@@ -420,8 +426,8 @@
         destination.endpoints.push(entry.endpoint);
         let (batch, usable) = (kind.batch.max(1), entry.state == Listed::On);
         self.routes[route].weight = entry.weight;
-        let Entry { destination, zone, kind, .. } = *entry;
-        let place = Endpoint { destination, route, zone, kind, batch, usable, ..Endpoint::default() };
+        let Entry { destination, zone, kind, report, .. } = *entry;
+        let place = Endpoint { destination, route, zone, kind, batch, usable, report, ..Endpoint::default() };
         self.endpoints.insert(entry.endpoint, place);
     }
 
@@ -709,7 +715,7 @@
                 (route.streak, route.timeouts, route.failing, route.last_ok) = (0, 0, false, self.now);
                 let pushed = route.pushed.take().map_or(self.now, |(first, _)| first);
                 if back {
-                    route.served.since += self.now - pushed;
+                    route.served.leave_out(self.now - pushed);
                     self.come_back(id);
                 }
             }
@@ -875,7 +881,7 @@
         let route = &self.routes[place.route];
         let idle = route.in_flight <= route.overdue.max(route.written_off);
         let fills = idle || destination.queue.len() >= place.batch;
-        place.usable && fills && self.has_room(place.route, destination)
+        place.usable && !place.passed_over && fills && self.has_room(place.route, destination)
     }
 
     fn warm(&self, place: &Endpoint) -> bool {
@@ -917,7 +923,7 @@
             + part(apart) * (fee + SECOND_COST * route.usual / SECOND as f64)
             + LOAD_COST * place.in_flight as f64
             + part(route.sick())
-            + part(place.avoid_until > self.now)
+            + part(place.avoid_until > self.now || place.report == Report::Warning)
     }
 
     /// Rule of effects: a keyed message that may have run goes only where its repeat is dropped.
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -178,6 +178,18 @@
     Gone,
 }
 
+/// What health checks say of an endpoint, where somebody makes any.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Report {
+    /// Fit, or nothing is told. By itself this opens nothing.
+    #[default]
+    Fit,
+    /// Ailing: others go before it.
+    Warning,
+    /// Unfit: nothing goes there while another of its destination is fit. Where none is, calls have to show it.
+    Critical,
+}
+
 /// A line of the list.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Entry {
@@ -191,6 +203,8 @@
     pub kind: usize,
     /// Its state.
     pub state: Listed,
+    /// What health checks say of it.
+    pub report: Report,
     /// See [`Settings::weights`].
     pub weight: f64,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod interface;
 pub mod settings;
+pub mod traffic;
 pub mod transport_map;
 
 pub use control::Controller;
--- a/crates/core/src/transport_map.rs
+++ b/crates/core/src/transport_map.rs
@@ -1,6 +1,6 @@
 //! The transport map as data: the list of endpoints, its form, and how news changes it.
 
-use crate::interface::Listed;
+use crate::interface::{Listed, Report};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,6 +27,36 @@
     }
 }
 
+/// What health checks say of an endpoint; discovery tells nothing of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Checks {
+    /// All pass, or there are none.
+    #[default]
+    Passing,
+    /// At least one warns.
+    Warning,
+    /// At least one fails.
+    Critical,
+}
+
+impl Checks {
+    /// Whether there is nothing to tell.
+    pub fn pass(&self) -> bool {
+        *self == Checks::Passing
+    }
+}
+
+impl From<Checks> for Report {
+    fn from(checks: Checks) -> Self {
+        match checks {
+            Checks::Passing => Report::Fit,
+            Checks::Warning => Report::Warning,
+            Checks::Critical => Report::Critical,
+        }
+    }
+}
+
 /// A line of the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
@@ -47,6 +77,16 @@
     /// What its destination takes, in calls a second.
     #[serde(default)]
     pub capacity_hint: f64,
+    /// What health checks say of it.
+    #[serde(default, skip_serializing_if = "Checks::pass")]
+    pub checks: Checks,
+}
+
+impl Target {
+    /// About the bytes of its line, never less.
+    pub fn size(&self) -> usize {
+        300 + self.uid.len() + self.az.len() + self.model.len()
+    }
 }
 
 /// The whole list, or what has changed in it.
@@ -58,13 +98,18 @@
     pub all: bool,
     /// The entries.
     pub targets: Vec<Target>,
+    /// Who told it: the id of a catalogue; empty for discovery.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub origin: String,
 }
 
 /// The list as it stands.
 #[derive(Clone, Debug, Default)]
 pub struct TransportMap {
     rev: u64,
+    origin: String,
     targets: BTreeMap<String, Target>,
+    size: usize,
 }
 
 impl TransportMap {
@@ -72,15 +117,19 @@
     pub fn take(&mut self, news: &News) {
         if news.all {
             self.targets.clear();
+            self.size = 0;
         }
         for target in &news.targets {
-            if target.state == State::Terminated {
-                self.targets.remove(&target.uid);
+            let before = if target.state == State::Terminated {
+                self.targets.remove(&target.uid)
             } else {
-                self.targets.insert(target.uid.clone(), target.clone());
-            }
+                self.size += target.size();
+                self.targets.insert(target.uid.clone(), target.clone())
+            };
+            self.size -= before.map_or(0, |target| target.size());
         }
         self.rev = news.rev;
+        self.origin.clone_from(&news.origin);
     }
 
     /// Version of the list.
@@ -88,6 +137,16 @@
         self.rev
     }
 
+    /// Who told the list; see [`News::origin`].
+    pub fn origin(&self) -> &str {
+        &self.origin
+    }
+
+    /// About the bytes of the list as news, never less.
+    pub fn size(&self) -> usize {
+        300 + self.origin.len() + self.size
+    }
+
     /// Endpoints in the list.
     pub fn len(&self) -> usize {
         self.targets.len()
@@ -105,7 +164,12 @@
 
     /// The whole list as one piece of news.
     pub fn whole(&self) -> News {
-        News { rev: self.rev, all: true, targets: self.targets.values().cloned().collect() }
+        News {
+            rev: self.rev,
+            all: true,
+            targets: self.targets.values().cloned().collect(),
+            origin: self.origin.clone(),
+        }
     }
 }
 
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -50,7 +50,7 @@
 }
 
 fn entry(endpoint: EndpointId, destination: DestinationId, zone: usize, kind: usize) -> Entry {
-    Entry { endpoint, destination, zone, kind, state: Listed::On, weight: 20.0 }
+    Entry { endpoint, destination, zone, kind, state: Listed::On, report: Report::Fit, weight: 20.0 }
 }
 
 /// A controller with a clock, and what it did last.
@@ -904,3 +904,88 @@
     bench.now += 500 * MS;
     assert_eq!(sends(&bench.step(&[Event::Timer { token: 0 }])).len(), 1);
 }
+
+// ---- reports of health ----
+
+fn told(endpoint: EndpointId, kind: usize, report: Report) -> Entry {
+    Entry { report, ..entry(endpoint, 1, 0, kind) }
+}
+
+/// Calls in so long, each answered at once, and those that went to one endpoint.
+fn tried(bench: &mut Bench, span: Micros, outcome: Outcome, endpoint: EndpointId) -> (usize, usize) {
+    let (mut all, mut there, mut calls) = (0, 0, Vec::new());
+    let until = bench.now + span;
+    while bench.now < until || !calls.is_empty() {
+        if bench.now < until {
+            calls.extend(sends(&bench.hand_in(1, 0, 1)));
+        }
+        bench.now += 50 * MS;
+        for (id, to, _) in std::mem::take(&mut calls) {
+            (all, there) = (all + 1, there + usize::from(to == endpoint));
+            calls.extend(sends(&bench.end(id, outcome)));
+        }
+        calls.extend(sends(&bench.later(0)));
+    }
+    (all, there)
+}
+
+#[test]
+fn a_critical_endpoint_gets_nothing_while_another_is_fit() {
+    for kind in [0, 1] {
+        let mut bench = Bench::new(settings(), &[told(1, kind, Report::Fit), told(2, kind, Report::Fit)]);
+        bench.list(ListForm::Changes, &[told(2, kind, Report::Critical)]);
+        let (all, there) = tried(&mut bench, 5 * S, Outcome::Ok, 2);
+        assert!(all >= 90 && there == 0, "kind {kind}: {all} calls, {there} to the critical one");
+        assert_eq!(bench.controller.troubled().is_empty(), kind == 0, "a route of its own is in trouble");
+    }
+}
+
+#[test]
+fn a_warning_is_a_last_choice_and_no_more() {
+    let mut bench = Bench::new(settings(), &[told(1, 0, Report::Warning), told(2, 0, Report::Fit)]);
+    assert_eq!(tried(&mut bench, 2 * S, Outcome::Ok, 1).1, 0);
+    bench.list(ListForm::Changes, &[Entry { state: Listed::Draining, ..told(2, 0, Report::Fit) }]);
+    assert!(tried(&mut bench, 2 * S, Outcome::Ok, 1).1 >= 30);
+    assert!(bench.controller.troubled().is_empty());
+}
+
+// Guards against a partner that only the health checks saw fail getting everything at once when they pass again.
+#[test]
+fn a_good_report_alone_opens_nothing() {
+    for state in [Listed::On, Listed::Draining, Listed::Gone] {
+        let mut bench = Bench::new(settings(), &[told(1, 0, Report::Fit)]);
+        tried(&mut bench, 5 * S, Outcome::Ok, 1);
+        bench.list(ListForm::Changes, &[Entry { state, ..told(1, 0, Report::Critical) }]);
+        bench.later(5 * S);
+        // Trial calls meanwhile are none of this test: they are over before it comes back.
+        for (id, ..) in sends(&bench.hand_in(1, 0, 30)) {
+            bench.end(id, Outcome::Timeout);
+        }
+        let back = told(if state == Listed::Gone { 2 } else { 1 }, 0, Report::Fit);
+        let (mut sent, mut calls) = (0, sends(&bench.list(ListForm::Changes, &[back])));
+        assert!(!bench.controller.troubled().is_empty(), "{state:?}: back, but not yet trusted");
+        for _ in 0..20 {
+            calls.extend(sends(&bench.later(100 * MS)));
+            sent += calls.len();
+            for (id, ..) in std::mem::take(&mut calls) {
+                calls.extend(sends(&bench.end(id, Outcome::Ok)));
+            }
+        }
+        // Twice a fifth of 20 calls a second, somewhat risen, for 2 s.
+        assert!((1..=20).contains(&sent), "{state:?}: {sent} calls in 2 s");
+    }
+}
+
+#[test]
+fn calls_overrule_a_bad_report_and_failing_calls_a_good_one() {
+    let mut bench = Bench::new(settings(), &[told(1, 0, Report::Critical)]);
+    assert!(!bench.controller.troubled().is_empty());
+    tried(&mut bench, 14 * S, Outcome::Ok, 1);
+    assert!(bench.controller.troubled().is_empty(), "calls that end well end the trouble");
+    bench.list(ListForm::Changes, &[told(1, 0, Report::Critical)]);
+    assert!(bench.controller.troubled().is_empty(), "the same report again is no news");
+    bench.list(ListForm::Changes, &[told(1, 0, Report::Fit)]);
+    tried(&mut bench, 5 * S, Outcome::Reset, 1);
+    bench.list(ListForm::Changes, &[told(1, 0, Report::Fit)]);
+    assert!(!bench.controller.troubled().is_empty(), "checks that pass do not hide calls that fail");
+}
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -115,7 +115,8 @@
                 _ => Listed::On,
             };
             let (zone, kind) = (endpoint as usize % 3, destination as usize % 3);
-            entries.push(Entry { endpoint, destination, zone, kind, state, weight: 5.0 });
+            let report = [Report::Fit, Report::Warning, Report::Critical][self.rng.usize(0..3)];
+            entries.push(Entry { endpoint, destination, zone, kind, state, report, weight: 5.0 });
         }
         let form = [ListForm::Changes, ListForm::Changes, ListForm::Whole][self.rng.usize(0..3)];
         if form == ListForm::Whole {
@@ -245,6 +246,12 @@
         assert!(!held.over, "message {id} sent after its end");
         assert_eq!(entry.destination, held.destination);
         assert_eq!(entry.state, Listed::On, "sent to a draining or gone endpoint");
+        let mut sisters = self.entries.values().filter(|e| e.destination == entry.destination);
+        let fit = sisters.any(|e| e.state == Listed::On && e.report != Report::Critical);
+        assert!(
+            !fit || entry.report != Report::Critical,
+            "sent to a critical endpoint with a fit one beside it"
+        );
         assert!(held.out.is_empty(), "two attempts of message {id} out together");
         assert!(held.attempts < self.set.max_attempts);
         assert!(timeout > 0);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration: what the platform tells a forwarder at its start.
 
+use crate::source::Catalogue;
 use orchidyoke_core::interface::Settings;
 use orchidyoke_core::settings::{self, Names};
 use orchidyoke_core::transport_map::News;
@@ -7,6 +8,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::rc::Rc;
 
 /// The file as it is written.
 #[derive(Deserialize)]
@@ -68,6 +70,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: Discovery,
+    /// The catalogue that tells the transport map in the place of discovery.
+    pub catalogue: Option<Rc<dyn Catalogue>>,
     /// Seed of the module's chance.
     pub seed: u64,
     /// What the machine allows.
@@ -127,6 +131,7 @@
             name: file.name,
             listen: address("listen", listen, file.listen)?,
             discovery,
+            catalogue: None,
             seed,
             limits: file.limits,
             known: file.known,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,6 +1,6 @@
 //! The watch that follows discovery's list of endpoints.
 
-use crate::input::{Input, WatchId};
+use crate::source::Teller;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
@@ -10,7 +10,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::timeout;
 
 /// A watch that has been silent for so long is taken as broken: an empty line is due every 2 s.
@@ -42,16 +41,14 @@
 }
 
 /// Follows the list from a version on until the watch ends; whoever asked may ask again.
-pub async fn follow(number: WatchId, discovery: SocketAddr, since: u64, inputs: UnboundedSender<Input>) {
-    let why = match watch(discovery, since, &inputs).await {
+pub async fn follow(discovery: SocketAddr, since: u64, teller: Teller) -> String {
+    match watch(discovery, since, &teller).await {
         Ok(()) => "it ended".to_owned(),
         Err(error) => error.to_string(),
-    };
-    // The receiver is gone only when the forwarder ends.
-    let _ = inputs.send(Input::MapLost { watch: number, why });
+    }
 }
 
-async fn watch(discovery: SocketAddr, since: u64, inputs: &UnboundedSender<Input>) -> Result<(), WatchError> {
+async fn watch(discovery: SocketAddr, since: u64, teller: &Teller) -> Result<(), WatchError> {
     let stream = timeout(DIAL, TcpStream::connect(discovery)).await.map_err(|_| WatchError::Silent)?;
     let stream = stream.map_err(broken)?;
     let (mut sender, connection) =
@@ -73,9 +70,7 @@
             let Some(frame) = frame else { return Ok(()) };
             let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
             buffer.extend_from_slice(&data);
-            take_lines(&mut buffer, |news| {
-                let _ = inputs.send(Input::News(news));
-            })?;
+            take_lines(&mut buffer, |news| teller.tell(news))?;
         }
     };
     tokio::select! {
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -3,11 +3,13 @@
 use crate::config::Config;
 use crate::hop_call::{Call, HopError, Reply};
 use crate::pool::LinkId;
+use crate::source::Catalogue;
 use bytes::Bytes;
 use orchidyoke_core::interface::{DestinationId, Micros};
 use orchidyoke_core::transport_map::News;
 use orchidyoke_journal::Verdict;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// One request of the sender side that waits for its answer.
 pub type Ticket = u64;
@@ -100,8 +102,13 @@
         /// How far its call had come, if it had one.
         error: HopError,
     },
-    /// Discovery has told something.
-    News(News),
+    /// A watch on the list has told something.
+    News {
+        /// Which watch.
+        watch: WatchId,
+        /// What.
+        news: News,
+    },
     /// The watch has ended.
     MapLost {
         /// Which watch.
@@ -122,6 +129,40 @@
     Alarm,
 }
 
+/// Who a watch follows, and from what on.
+#[derive(Clone, Debug)]
+pub enum Following {
+    /// Discovery at this address, from a version on.
+    Discovery {
+        /// Where it answers.
+        at: SocketAddr,
+        /// The version held; 0 asks for the whole list.
+        since: u64,
+    },
+    /// A catalogue, from the list held on: what it tells are changes to that.
+    Catalogue {
+        /// Which.
+        catalogue: Rc<dyn Catalogue>,
+        /// The list held, whoever told it.
+        held: News,
+    },
+}
+
+impl PartialEq for Following {
+    fn eq(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Following::Discovery { at, since }, Following::Discovery { at: other, since: from }) => {
+                (at, since) == (other, from)
+            }
+            (
+                Following::Catalogue { catalogue, held },
+                Following::Catalogue { catalogue: other, held: with },
+            ) => catalogue.id() == other.id() && held == with,
+            _ => false,
+        }
+    }
+}
+
 /// What is to be done.
 #[derive(Debug, PartialEq)]
 pub enum Effect {
@@ -172,14 +213,12 @@
         /// The final answers.
         notices: Vec<(String, Verdict)>,
     },
-    /// Follow discovery's list from this version on; a watch before it ends.
+    /// Follow the list; a watch before it ends.
     Follow {
         /// Number of the watch.
         watch: WatchId,
-        /// Where discovery answers.
-        from: SocketAddr,
-        /// The version held.
-        since: u64,
+        /// Who is followed.
+        from: Following,
     },
     /// Write a line to the log.
     Log {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod reload;
 pub mod serve;
 pub mod shutdown;
+pub mod source;
--- a/crates/node/src/reducer/hops.rs
+++ b/crates/node/src/reducer/hops.rs
@@ -3,10 +3,13 @@
 use super::Reducer;
 use super::records::Bounds;
 use crate::config::Config;
-use crate::input::Effect;
-use orchidyoke_core::interface::{DestinationId, EndpointId, Entry, Event, ListForm, Micros};
+use crate::input::{Effect, Following};
+use crate::source::Catalogue;
+use orchidyoke_core::interface::{DestinationId, EndpointId, Entry, Event, ListForm, Listed, Micros};
 use orchidyoke_core::transport_map::News;
 use orchidyoke_journal::Record;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// An endpoint that some list has named.
 #[derive(Debug)]
@@ -19,17 +22,20 @@
     /// Takes over what can change while the process runs. What is held and what is out carries on; the list
     /// stays in use until discovery, perhaps at another address, has told more.
     pub(super) fn reconfigure(&mut self, now: Micros, config: Config) {
-        let Config { discovery, settings, names, limits, .. } = config;
+        let Config { discovery, catalogue, settings, names, limits, .. } = config;
         self.log(format!("configuration: read again, discovery is at {}", discovery.file));
         if let Some(discovery) = discovery.given.filter(|given| Some(*given) != self.superseded) {
             self.append(&[(&Record::Superseded { discovery }, b"")], None);
             self.superseded = Some(discovery);
         }
+        let id = |catalogue: &Option<Rc<dyn Catalogue>>| catalogue.as_ref().map(|c| c.id().to_owned());
         if self.discovery != discovery.file {
-            self.discovery = discovery.file;
-            (self.following, self.follow_at) = (false, now);
             self.owed.post_now(now);
         }
+        if id(&self.catalogue) != id(&catalogue) || catalogue.is_none() && self.discovery != discovery.file {
+            (self.following, self.follow_at) = (false, now);
+        }
+        (self.discovery, self.catalogue) = (discovery.file, catalogue);
         let bounds = Bounds::new(&settings, limits);
         self.pool.bound(settings.idle_close, bounds.links);
         self.space.limit(bounds.disk);
@@ -45,8 +51,17 @@
         if !self.following && now >= self.follow_at {
             self.following = true;
             self.watch += 1;
-            let since = self.map.rev();
-            self.effects.push(Effect::Follow { watch: self.watch, from: self.discovery, since });
+            let from = match &self.catalogue {
+                Some(catalogue) => {
+                    Following::Catalogue { catalogue: catalogue.clone(), held: self.map.whole() }
+                }
+                // A version that a catalogue has counted says nothing to discovery.
+                None => {
+                    let since = if self.map.origin().is_empty() { self.map.rev() } else { 0 };
+                    Following::Discovery { at: self.discovery, since }
+                }
+            };
+            self.effects.push(Effect::Follow { watch: self.watch, from });
         }
     }
 
@@ -69,9 +84,20 @@
                 zone: place(&self.names.zones, &target.az).unwrap_or(usize::MAX),
                 kind: place(&self.names.kinds, &target.model).unwrap_or(usize::MAX),
                 state: target.state.into(),
+                report: target.checks.into(),
                 weight: target.capacity_hint,
             });
         }
+        if news.all {
+            let named: BTreeSet<_> = entries.iter().map(|entry| entry.endpoint).collect();
+            self.unlisted.extend(self.hops.keys().filter(|hop| !named.contains(hop)));
+        }
+        for entry in &entries {
+            match entry.state {
+                Listed::Gone => self.unlisted.insert(entry.endpoint),
+                Listed::On | Listed::Draining => self.unlisted.remove(&entry.endpoint),
+            };
+        }
         self.map.take(news);
         self.events.push(Event::List { form, entries });
     }
@@ -79,13 +105,13 @@
     /// An endpoint that the list names no more is forgotten when nothing of it is out, and its connections close:
     /// another at its address is another endpoint.
     pub(super) fn forget_hops(&mut self) {
-        let gone = self.hops.iter().filter(|(_, hop)| self.map.get(&hop.uid).is_none()).map(|(id, _)| *id);
-        for id in gone.collect::<Vec<_>>() {
+        for id in self.unlisted.iter().copied().collect::<Vec<_>>() {
             self.close_idle(id);
             if !self.flights.values().any(|flight| flight.hop == id)
                 && let Some(hop) = self.hops.remove(&id)
             {
                 self.hop_numbers.remove(&hop.uid);
+                self.unlisted.remove(&id);
             }
         }
     }
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 use crate::config::Config;
 use crate::input::{DoorAnswer, Effect, Input, Receipt, Ticket, WatchId};
 use crate::pool::{CallId, Pool};
+use crate::source::Catalogue;
 use attempts::Flight;
 use hops::Hop;
 use messages::Message;
@@ -29,6 +30,7 @@
 use records::{Bounds, replay};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use stop::Leaving;
 
 const SECOND: Micros = 1_000_000;
@@ -64,6 +66,8 @@
     /// Endpoints that the list names, and others for as long as something of theirs is out.
     hops: BTreeMap<EndpointId, Hop>,
     next_hop: EndpointId,
+    /// Those that it names no more.
+    unlisted: BTreeSet<EndpointId>,
     /// Destinations that some list has named.
     destinations: BTreeSet<DestinationId>,
     hop_numbers: HashMap<String, EndpointId>,
@@ -72,6 +76,8 @@
     troubled: BTreeSet<DestinationId>,
     /// Where discovery answers, and the address given apart from the file that it has superseded.
     discovery: SocketAddr,
+    /// The catalogue that is followed in the place of discovery.
+    catalogue: Option<Rc<dyn Catalogue>>,
     superseded: Option<SocketAddr>,
     watch: WatchId,
     following: bool,
@@ -109,11 +115,13 @@
             map: TransportMap::default(),
             hops: BTreeMap::new(),
             next_hop: 0,
+            unlisted: BTreeSet::new(),
             destinations: BTreeSet::new(),
             hop_numbers: HashMap::new(),
             waits: BTreeMap::new(),
             troubled: left.troubled,
             discovery: config.discovery.at_start(left.superseded),
+            catalogue: config.catalogue,
             // Another address given since then is news: it counts, and the record does not.
             superseded: left.superseded.filter(|address| config.discovery.given == Some(*address)),
             watch: 0,
@@ -139,7 +147,9 @@
         // before the restart binds. Changes told later are journaled as such: without the whole list before
         // them they would be all of it.
         let known = News { all: true, ..config.known };
-        let newest = if left.map.rev() > known.rev { left.map.whole() } else { known.clone() };
+        // A catalogue counts versions of its own: what it told last holds until it tells more.
+        let catalogued = !left.map.origin().is_empty() && reducer.catalogue.is_some();
+        let newest = if catalogued || left.map.rev() > known.rev { left.map.whole() } else { known.clone() };
         reducer.take_list(&known, ListForm::Remembered);
         reducer.take_list(&newest, ListForm::Remembered);
         let destinations = reducer.troubled.iter().copied().collect();
@@ -179,7 +189,7 @@
                     self.broken(now, call, &error);
                 }
             }
-            Input::News(news) => {
+            Input::News { watch, news } if watch == self.watch => {
                 let form = if news.all { ListForm::Whole } else { ListForm::Changes };
                 let record = Record::Map(news.clone());
                 self.append(&[(&record, b"")], None);
@@ -189,8 +199,8 @@
                 self.log(format!("transport map: {why}; the last list stays in use"));
                 (self.following, self.follow_at) = (false, now + FOLLOW_AGAIN);
             }
-            // A watch on the address before, that ended as it was left.
-            Input::MapLost { .. } => {}
+            // A watch before this one, that told more or ended as it was left.
+            Input::News { .. } | Input::MapLost { .. } => {}
             Input::Posted { accepted } => self.posted(now, accepted),
             Input::Reconfigured(config) => self.reconfigure(now, *config),
             Input::Terminate => self.terminate(now),
--- a/crates/node/src/reducer/records.rs
+++ b/crates/node/src/reducer/records.rs
@@ -109,7 +109,7 @@
     pub(super) fn live_size(&self) -> usize {
         // Counted as it comes and goes: this is asked for with each append.
         debug_assert_eq!(self.live, self.messages.values().map(Message::size).sum::<usize>());
-        let known = self.map.len() * 300 + self.troubled.len() * 24 + 300;
+        let known = self.map.size() + self.troubled.len() * 24 + 300;
         self.live + self.owed.bytes() + self.recent.bytes() + known
     }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -8,8 +8,9 @@
 use super::reload::{Reloads, Source};
 use super::shutdown::Signals;
 use super::{discovery, notices};
-use crate::input::{Effect, Input};
+use crate::input::{Effect, Following, Input, WatchId};
 use crate::log;
+use crate::source::Teller;
 use bytes::Bytes;
 use orchidyoke_core::interface::Micros;
 use orchidyoke_journal::Journal;
@@ -90,11 +91,7 @@
             Effect::Post { to, notices } => {
                 spawn_local(notices::post(to, notices, self.inputs.clone()));
             }
-            Effect::Follow { watch, from, since } => {
-                self.watch.iter().for_each(AbortHandle::abort);
-                let task = spawn_local(discovery::follow(watch, from, since, self.inputs.clone()));
-                self.watch = Some(task.abort_handle());
-            }
+            Effect::Follow { watch, from } => self.follow(watch, from),
             Effect::Log { line } => log!("{line}"),
             Effect::CloseDoor => {
                 self.listening.take().iter().for_each(AbortHandle::abort);
@@ -105,6 +102,20 @@
         None
     }
 
+    fn follow(&mut self, watch: WatchId, from: Following) {
+        self.watch.iter().for_each(AbortHandle::abort);
+        let (inputs, teller) = (self.inputs.clone(), Teller::new(watch, self.inputs.clone()));
+        let task = spawn_local(async move {
+            let why = match from {
+                Following::Discovery { at, since } => discovery::follow(at, since, teller).await,
+                Following::Catalogue { catalogue, held } => catalogue.follow(held, teller).await,
+            };
+            // The receiver is gone only when the forwarder ends.
+            let _ = inputs.send(Input::MapLost { watch, why });
+        });
+        self.watch = Some(task.abort_handle());
+    }
+
     fn rewrite(&mut self, bytes: &Bytes) {
         if let Err(error) = self.journal.rewrite(bytes) {
             log!("journal: it could not be rewritten: {error}");
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A configuration for tests: two classes, three destinations of two kinds, small limits.
 
-use orchidyoke_core::transport_map::{News, State, Target};
+use orchidyoke_core::transport_map::{Checks, News, State, Target};
 
 /// What it lists: two endpoints of the kind that takes several messages in a call, two that take one.
 pub fn targets() -> Vec<Target> {
@@ -13,13 +13,15 @@
         pod_group: dest,
         state: State::InService,
         capacity_hint: 20.0,
+        checks: Checks::Passing,
     };
     places.into_iter().enumerate().map(target).collect()
 }
 
 /// The text of the configuration.
 pub fn config(listen: &str, discovery: &str, targets: Vec<Target>) -> String {
-    let known = serde_json::to_string(&News { rev: 1, all: true, targets }).expect("a list");
+    let known =
+        serde_json::to_string(&News { rev: 1, all: true, targets, origin: String::new() }).expect("a list");
     format!(
         r#"{{"name":"t0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":0.2}},"known":{known},
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -9,11 +9,15 @@
 use orchidyoke_journal::{Record, Verdict, replay};
 use orchidyoke_node::config::Config;
 use orchidyoke_node::hop_call::{Call, Cause, HopError, Progress, Reply};
-use orchidyoke_node::input::{DoorAnswer, Effect, Handed, Input, Ticket};
+use orchidyoke_node::input::{DoorAnswer, Effect, Following, Handed, Input, Ticket};
 use orchidyoke_node::pool::LinkId;
 use orchidyoke_node::reducer::Reducer;
+use orchidyoke_node::source::{Catalogue, Teller};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
 
 const S: Micros = 1_000_000;
 const START: Micros = 1_800_000_000 * S;
@@ -105,7 +109,36 @@
     Reducer::new(config, records, whole, now)
 }
 
+/// Whom a watch follows, as a port, and from which version on. A catalogue has port 0.
+fn followed(from: &Following) -> (u16, u64) {
+    match from {
+        Following::Discovery { at, since } => (at.port(), *since),
+        Following::Catalogue { held, .. } => (0, held.rev),
+    }
+}
+
+/// A catalogue that tells nothing by itself.
+#[derive(Debug)]
+struct Still(&'static str);
+
+impl Catalogue for Still {
+    fn id(&self) -> &str {
+        self.0
+    }
+
+    fn follow(&self, _: News, _: Teller) -> Pin<Box<dyn Future<Output = String>>> {
+        Box::pin(std::future::pending())
+    }
+}
+
 impl World {
+    /// Changes of the list, by the watch that is followed.
+    fn news(&mut self, targets: Vec<Target>) {
+        let watch = self.follows.last().map_or(0, |(watch, ..)| *watch);
+        let news = News { rev: self.rev, all: false, targets, origin: String::new() };
+        self.input(Input::News { watch, news });
+    }
+
     fn new() -> Self {
         let mut world = World {
             reducer: reducer(&[], START),
@@ -171,7 +204,10 @@
             Effect::Write { link, call } => self.write(link, call),
             Effect::Close { link } => return self.close(link, Cause::CalledOff),
             Effect::Post { notices, .. } => assert!(self.posting.replace(notices).is_none()),
-            Effect::Follow { watch, from, since } => self.follows.push((watch, from.port(), since)),
+            Effect::Follow { watch, from } => {
+                let (port, since) = followed(&from);
+                self.follows.push((watch, port, since));
+            }
             Effect::Log { .. } => {}
             Effect::CloseDoor => assert!(!std::mem::replace(&mut self.door_closed, true)),
             Effect::Exit => self.exited = true,
@@ -354,7 +390,7 @@
                 let place = which % self.list.len();
                 self.list[place].state = state;
                 let targets = vec![self.list[place].clone()];
-                self.input(Input::News(News { rev: self.rev, all: false, targets }));
+                self.news(targets);
             }
             Step::Kill => self.restart(),
             Step::Terminate => self.input(Input::Terminate),
@@ -592,7 +628,7 @@
         for effect in inputs.into_iter().flatten().flat_map(|input| reducer.step(START, input)) {
             match effect {
                 Effect::Append { bytes, .. } => file.extend_from_slice(&bytes),
-                Effect::Follow { from, .. } => port = from.port(),
+                Effect::Follow { from, .. } => port = followed(&from).0,
                 _ => {}
             }
         }
@@ -623,7 +659,7 @@
         world.list[2].uid = format!("s-new{number}");
         let targets = vec![old, world.list[2].clone()];
         world.rev += 1;
-        world.input(Input::News(News { rev: world.rev, all: false, targets }));
+        world.news(targets);
         world.wait(100_000);
         assert!(world.links.values().all(|link| link.call.is_some() || !link.up), "none is kept");
         world.wait(4 * S);
@@ -678,3 +714,69 @@
     world.answer(0, 0);
     assert_eq!(world.posting.clone().expect("a notice"), [("order".to_owned(), Verdict::Failed)]);
 }
+
+// Guards against a list taken from two sources at once: after the change from discovery to a catalogue and back, what
+// the one before still tells is passed over, versions are not mixed, and the list stays in use all the time.
+#[test]
+fn a_change_of_source_leaves_the_list_in_use_and_the_old_source_unheard() {
+    let config = |catalogue: Option<&'static str>| {
+        let text = common::config("127.0.0.1:1", "127.0.0.1:2", common::targets());
+        let catalogue = catalogue.map(|id| Rc::new(Still(id)) as Rc<dyn Catalogue>);
+        Box::new(Config { catalogue, ..Config::read(&text, None, None).expect("a configuration") })
+    };
+    let mut world = World::new();
+    let (first, ..) = world.follows[0];
+    world.input(Input::Reconfigured(config(Some("c1"))));
+    let (second, port, held) = *world.follows.last().expect("followed");
+    assert_eq!((world.follows.len(), port, held), (2, 0, 1), "it goes on from the list that discovery told");
+    let gone = |origin: &str| News {
+        rev: 2,
+        all: false,
+        targets: vec![Target { state: State::Terminated, ..common::targets()[2].clone() }],
+        origin: origin.to_owned(),
+    };
+    world.input(Input::News { watch: first, news: gone("") });
+    world.input(Input::MapLost { watch: first, why: "left".to_owned() });
+    world.hand_in("a".to_owned(), false, 2, 10);
+    world.wait(10_000);
+    assert!(world.pick(0, |l| !l.up).is_some(), "the list is as it was");
+    world.input(Input::Reconfigured(config(Some("c1"))));
+    assert_eq!(world.follows.len(), 2, "the same catalogue is not followed anew");
+    world.input(Input::News { watch: second, news: gone("c1") });
+    world.input(Input::Reconfigured(config(None)));
+    let (_, port, since) = *world.follows.last().expect("followed");
+    assert_eq!(
+        (port, since),
+        (2, 0),
+        "the catalogue's version says nothing to discovery: the whole list, please"
+    );
+}
+
+// Guards against a restart that drops what a catalogue told last for the configuration's list.
+#[test]
+fn the_last_list_of_a_catalogue_outlasts_a_restart() {
+    let config = || {
+        let text = common::config("127.0.0.1:1", "127.0.0.1:2", common::targets());
+        let catalogue = Some(Rc::new(Still("c1")) as Rc<dyn Catalogue>);
+        Config { catalogue, ..Config::read(&text, None, None).expect("a configuration") }
+    };
+    let mut file = Vec::new();
+    let mut held = Vec::new();
+    for start in 0..2 {
+        let (records, whole) = replay(Bytes::copy_from_slice(&file));
+        let mut reducer = Reducer::new(config(), records, whole, START);
+        let told = Target { uid: format!("n1/web-{start}"), ..common::targets()[0].clone() };
+        let targets = vec![Target { state: State::Terminated, ..common::targets()[3].clone() }, told];
+        let news = News { rev: 0, all: false, targets, origin: "c1".to_owned() };
+        let inputs = [Input::Alarm, Input::News { watch: 1, news }];
+        for effect in inputs.into_iter().flat_map(|input| reducer.step(START, input)) {
+            match effect {
+                Effect::Append { bytes, .. } => file.extend_from_slice(&bytes),
+                Effect::Follow { from: Following::Catalogue { held: news, .. }, .. } => held.push(news),
+                _ => {}
+            }
+        }
+    }
+    let uids: Vec<_> = held[1].targets.iter().map(|t| t.uid.as_str()).collect();
+    assert_eq!((held[0].targets.len(), uids), (4, vec!["n1/web-0", "s-a", "s-b", "s-c"]));
+}
--- a/src/bin/orchidyoke-sim/instance.rs
+++ b/src/bin/orchidyoke-sim/instance.rs
@@ -2,7 +2,7 @@
 
 use crate::fields::{Fields, Problem};
 use orchidyoke_core::Controller;
-use orchidyoke_core::interface::{Action, Answer, Entry, Event, ListForm, Listed, Outcome};
+use orchidyoke_core::interface::{Action, Answer, Entry, Event, ListForm, Listed, Outcome, Report};
 use orchidyoke_core::settings::{self, Names};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
@@ -223,6 +223,7 @@
             zone: self.zone(&line.zone),
             kind: place(&self.names.kinds, &line.kind),
             state: line.state,
+            report: Report::Fit,
             weight: line.weight,
         });
         let entries = entries.collect();
