--- /dev/null
+++ b/crates/config/src/apart.rs
@@ -0,0 +1,77 @@
+//! A script evaluated in a process of its own, so that its bounds hold whatever it does: the evaluator looks at its
+//! steps and its memory only now and then, and a list doubled thirty times between two looks would take the machine.
+
+use crate::Installation;
+use crate::script::{Fault, read};
+use rlimit::Resource;
+use serde::{Deserialize, Serialize};
+use std::io::Read;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Address space and processor time of that process.
+const MEMORY: u64 = 512 << 20;
+const PROCESSOR: u64 = 5;
+/// Time that it has by the clock, and how often it is looked at.
+const PATIENCE: Duration = Duration::from_secs(10);
+const LOOK: Duration = Duration::from_millis(5);
+
+#[derive(Serialize, Deserialize)]
+enum Said {
+    Good(Installation),
+    Bad(Fault),
+}
+
+/// The other process: evaluates the script and writes what it says to standard output.
+pub fn serve(path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    Resource::AS.set(MEMORY, MEMORY)?;
+    Resource::CPU.set(PROCESSOR, PROCESSOR)?;
+    Resource::CORE.set(0, 0)?;
+    let said = read(path).map_or_else(Said::Bad, Said::Good);
+    serde_json::to_writer(std::io::stdout(), &said)?;
+    Ok(())
+}
+
+/// Has a script evaluated by `command`, which is to call [`serve`] with its path.
+pub fn load(path: &Path, mut command: Command) -> Result<Installation, Fault> {
+    let fault = |why: String| Fault { file: path.to_owned(), place: None, why };
+    let started = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn();
+    let mut child = started.map_err(|error| fault(format!("the evaluator does not start: {error}")))?;
+    let reader = child.stdout.take().map(|mut stdout| {
+        thread::spawn(move || {
+            let mut said = Vec::new();
+            // What cannot be read is not whole, and shows as such.
+            drop(stdout.read_to_end(&mut said));
+            said
+        })
+    });
+    let ended = wait(&mut child);
+    let said = reader.and_then(|reader| reader.join().ok()).unwrap_or_default();
+    match serde_json::from_slice(&said) {
+        Ok(Said::Good(installation)) => Ok(installation),
+        Ok(Said::Bad(fault)) => Err(fault),
+        Err(_) => Err(fault(format!(
+            "the script was ended ({}): it may use {} MiB of memory, {PROCESSOR} s of processor time and {} s in all",
+            ended.as_deref().unwrap_or("out of time"),
+            MEMORY >> 20,
+            PATIENCE.as_secs()
+        ))),
+    }
+}
+
+/// How it ended, within its time; after that it is killed.
+fn wait(child: &mut Child) -> Option<String> {
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        match child.try_wait() {
+            Ok(Some(status)) => return Some(status.to_string()),
+            Ok(None) => thread::sleep(LOOK),
+            Err(error) => return Some(error.to_string()),
+        }
+    }
+    drop(child.kill());
+    drop(child.wait());
+    None
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,55 @@
+//! The settings of an installation: a Starlark script, evaluated within bounds on steps, memory and depth, and
+//! checked as a whole. The platform's JSON is another file and stays what it is.
+//!
+//! [`load`] evaluates a script in a process of its own: what runs away there, in time or memory, harms nobody.
+//!
+//! The language is <https://github.com/bazelbuild/starlark/blob/master/spec.md>; beside its own words a script has
+//! those of [`words`].
+
+mod apart;
+mod forms;
+mod script;
+mod words;
+
+pub use apart::{load, serve};
+pub use script::{Bounds, Fault, evaluate, read};
+
+use orchidyoke_core::settings::Names;
+use serde::{Deserialize, Serialize};
+
+/// What an installation asks for beyond the platform's file.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Installation {
+    /// Consul as the source of the transport map.
+    pub consul: Option<orchidyoke_consul::Settings>,
+}
+
+impl Installation {
+    /// Checks what these settings say against those of the platform: names of kinds and zones, and the connections
+    /// that are to be had. Gives every fault found.
+    pub fn check(&self, names: &Names, sockets: usize) -> Vec<String> {
+        let Some(consul) = &self.consul else { return Vec::new() };
+        let mut faults = Vec::new();
+        for service in &consul.services {
+            let name = &service.name;
+            if !names.kinds.contains(&service.kind) {
+                let why = forms::unknown("kind", &service.kind, names.kinds.iter().map(String::as_str));
+                faults.push(format!("consul: service {name:?}: {why}"));
+            }
+            if !names.zones.contains(&service.zone) {
+                let why = forms::unknown("zone", &service.zone, names.zones.iter().map(String::as_str));
+                faults.push(format!("consul: service {name:?}: {why}"));
+            }
+        }
+        // Half the descriptors are for clients and a quarter for partners.
+        let most = sockets / 8;
+        if consul.connections > most {
+            faults.push(format!(
+                "consul: connections: {} are too many: with {sockets} descriptors (limits.sockets) at most {most} \
+                 are left for Consul",
+                consul.connections
+            ));
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/crates/config/src/words.rs
@@ -0,0 +1,83 @@
+//! The words that a script has beside Starlark's own: `consul`, `service` and `tls`. All their fields are named.
+//!
+//! `service(...)` and `tls(...)` give a value that goes into `consul(...)`; that last one says what is wanted, once.
+
+use crate::forms::{ConsulForm, Form, ServiceForm, TlsForm, unknown};
+use anyhow::anyhow;
+use serde_json::{Map, Value as Json};
+use starlark::collections::SmallMap;
+use starlark::environment::GlobalsBuilder;
+use starlark::eval::Evaluator;
+use starlark::starlark_module;
+use starlark::values::Value;
+use starlark::values::none::NoneType;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+/// What a script has asked for so far: the forms as JSON, by their word, and its folder by [`FOLDER`]. The evaluator
+/// hands a value on to words only if its type is one of the standard library's.
+pub(crate) type Asked = RefCell<BTreeMap<String, String>>;
+
+/// Where the folder of the script stands among what it has asked for.
+pub(crate) const FOLDER: &str = "";
+
+fn asked<'a>(eval: &Evaluator<'_, 'a, '_>) -> anyhow::Result<&'a Asked> {
+    eval.extra.and_then(|extra| extra.downcast_ref()).ok_or_else(|| anyhow!("this word has no place here"))
+}
+
+/// Reads the fields of a word into its form and checks it.
+fn form<F: Form>(word: &str, fields: &SmallMap<String, Value<'_>>, asked: &Asked) -> anyhow::Result<F> {
+    let mut json = Map::new();
+    for (name, value) in fields {
+        if !F::FIELDS.contains(&name.as_str()) {
+            return Err(anyhow!("{word}: {}", unknown("field", name, F::FIELDS.iter().copied())));
+        }
+        let value = value.to_json_value().map_err(|error| anyhow!("{word}: {name}: {error}"))?;
+        json.insert(name.clone(), value);
+    }
+    let read = serde_path_to_error::deserialize(Json::Object(json));
+    let mut form: F = read.map_err(|error| match error.path().to_string().as_str() {
+        "." => anyhow!("{word}: {}", error.inner()),
+        path => anyhow!("{word}: {path}: {}", error.inner()),
+    })?;
+    let folder = asked.borrow().get(FOLDER).map(PathBuf::from).unwrap_or_default();
+    form.check(&folder).map_err(|why| anyhow!("{word}: {why}"))?;
+    Ok(form)
+}
+
+#[starlark_module]
+pub(crate) fn words(builder: &mut GlobalsBuilder) {
+    /// TLS towards a server: `ca`, and perhaps `cert` with `key`, and `server_name`.
+    fn tls<'v>(
+        #[starlark(kwargs)] fields: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        let form: TlsForm = form("tls", &fields, asked(eval)?)?;
+        Ok(eval.heap().alloc(serde_json::to_value(form)?))
+    }
+
+    /// A service of the catalogue: `name`, `destination`, `kind`, `zone`, and perhaps `zone_meta`, `capacity` and
+    /// `filter`.
+    fn service<'v>(
+        #[starlark(kwargs)] fields: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<Value<'v>> {
+        let form: ServiceForm = form("service", &fields, asked(eval)?)?;
+        Ok(eval.heap().alloc(serde_json::to_value(form)?))
+    }
+
+    /// Consul as the source of the transport map: `addresses`, `services`, `networks`, and perhaps `tls`,
+    /// `token_file`, `datacenter`, `namespace`, `consistency`, `wait` and `connections`.
+    fn consul<'v>(
+        #[starlark(kwargs)] fields: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let asked = asked(eval)?;
+        let form: ConsulForm = form("consul", &fields, asked)?;
+        if asked.borrow_mut().insert("consul".to_owned(), serde_json::to_string(&form)?).is_some() {
+            return Err(anyhow!("consul: is asked for twice: the transport map has one source"));
+        }
+        Ok(NoneType)
+    }
+}
--- /dev/null
+++ b/crates/config/tests/scripts.rs
@@ -0,0 +1,130 @@
+//! Scripts, good and bad, each fault with its place.
+
+use orchidyoke_config::{Bounds, Installation, evaluate};
+use orchidyoke_core::settings::Names;
+use std::path::Path;
+
+fn run(text: &str) -> Result<Installation, String> {
+    let bounds = Bounds { ticks: 100_000, heap: 4 << 20, depth: 50 };
+    evaluate(Path::new("site/edge.star"), text.to_owned(), bounds).map_err(|fault| fault.to_string())
+}
+
+const GOOD: &str = r#"
+shops = {"refunds": 7, "pickups": 9}
+
+def follow(name):
+    return service(name = name, destination = shops[name], kind = "one", zone = "a", capacity = 20)
+
+consul(
+    addresses = ["127.0.0.1:8500"],
+    services = [follow(name) for name in shops],
+    networks = ["127.0.0.0/8", "fd00::/8"],
+    wait = "10s",
+    consistency = "stale",
+    connections = 16,
+)
+"#;
+
+#[test]
+fn a_script_says_what_is_followed() {
+    let consul = run(GOOD).expect("good").consul.expect("asked for");
+    let services: Vec<_> =
+        consul.services.iter().map(|s| (s.name.as_str(), s.destination, s.capacity)).collect();
+    assert_eq!(services, [("refunds", 7, 20.0), ("pickups", 9, 20.0)]);
+    assert_eq!((consul.wait.as_secs(), consul.connections, consul.networks.len()), (10, 16, 2));
+    assert_eq!(run("x = 1"), Ok(Installation::default()), "nothing asked for");
+}
+
+#[test]
+fn the_same_script_has_the_same_id_and_another_has_another() {
+    let id = |text: &str| run(text).expect("good").consul.expect("asked for").id();
+    assert_eq!(id(GOOD), id(GOOD));
+    assert_ne!(id(GOOD), id(&GOOD.replace("10s", "11s")));
+}
+
+// Guards against a script that is taken in part, and against a fault without its place or its remedy.
+#[test]
+fn each_fault_is_told_with_its_place_and_remedy() {
+    let cases = [
+        ("x = ", "edge.star:1:5: ", "Parse error"),
+        ("consul(adresses = [])", ":1:1: ", "there is no field \"adresses\": is \"addresses\" meant?"),
+        ("\n\n  consul()", ":3:", "arse error"),
+        ("consul(services = [], networks = [])", ":1:1: ", "missing field `addresses`"),
+        ("service(name = \"a\", destination = -1, kind = \"one\", zone = \"a\")", ":1:1: ", "destination: "),
+        ("service(name = \"\", destination = 1, kind = \"one\", zone = \"a\")", ":1:1: ", "name: is empty"),
+        (
+            "service(name = \"a\", destination = 1, kind = \"one\", zone = \"a\", capacity = -2.0)",
+            ":1:1: ",
+            "calls a second",
+        ),
+        ("def f():\n    return nothing\nf()", ":2:12: ", "nothing"),
+        ("tls(ca = \"none.pem\")", ":1:1: ", "site/none.pem"),
+        ("load(\"//other.star\", \"x\")", ":1:", "load"),
+    ];
+    for (text, place, why) in cases {
+        let fault = run(text).expect_err(text);
+        assert!(
+            fault.starts_with("site/edge.star:") && fault.contains(place) && fault.contains(why),
+            "{fault}"
+        );
+        assert_eq!(fault.lines().count(), 1, "{fault}");
+    }
+    let cases = [
+        ("\"127.0.0.1:8500\"", "\"consul.example:8500\"", "names are not looked up"),
+        ("[\"127.0.0.1:8500\"]", "[]", "addresses: is empty"),
+        ("\"127.0.0.0/8\"", "\"127.0.0.1/8\"", "127.0.0.0/8 is meant?"),
+        ("\"127.0.0.0/8\"", "\"0.0.0.0/0\"", "allows every address"),
+        ("\"127.0.0.0/8\"", "\"loopback\"", "write an address and a length"),
+        ("\"stale\"", "\"stail\"", "is \"stale\" meant?"),
+        ("\"10s\"", "\"10 parsecs\"", "no time from 1s to 10m"),
+        ("\"10s\"", "\"10ms\"", "no time from 1s to 10m"),
+        ("= 16", "= 0", "at least 1"),
+        ("[follow(name) for name in shops]", "[follow(\"refunds\"), follow(\"refunds\")]", "twice"),
+        ("\"pickups\": 9", "\"pickups\": 7", ""),
+        ("connections = 16,", "token_file = \"none\",", "token_file: site/none"),
+    ];
+    for (part, instead, why) in cases {
+        let text = GOOD.replace(part, instead);
+        assert_ne!(text, GOOD);
+        match run(&text) {
+            Ok(_) => assert_eq!(why, "", "{instead}"),
+            Err(fault) => {
+                assert!(!why.is_empty() && fault.contains(why) && fault.contains("star:7:1: "), "{fault}")
+            }
+        }
+    }
+    let mixed = GOOD.replace("kind = \"one\"", "kind = name").replace("\"pickups\": 9", "\"pickups\": 7");
+    assert!(
+        run(&mixed).expect_err("mixed").contains("destination 7 is of kind \"refunds\" and of \"pickups\"")
+    );
+    let twice = format!("{GOOD}\n{}", &GOOD[GOOD.find("consul(").expect("there")..]);
+    assert!(run(&twice).expect_err("twice").contains("the transport map has one source"));
+}
+
+// Guards against a script that keeps the forwarder busy, or uses up its memory.
+#[test]
+fn what_runs_away_is_ended() {
+    let cases = [
+        "def f():\n    for i in range(1000000000):\n        pass\nf()",
+        "def f():\n    x = []\n    for i in range(90000):\n        x.append(\"a\" * 1000 + str(i))\nf()",
+        "def f(n):\n    return f(n + 1)\nf(0)",
+    ];
+    for text in cases {
+        let fault = run(text).expect_err(text);
+        assert!(fault.lines().count() == 1, "{fault}");
+    }
+}
+
+#[test]
+fn names_are_checked_against_the_platforms() {
+    let good = run(GOOD).expect("good");
+    let names = |kinds: &[&str], zones: &[&str]| Names {
+        kinds: kinds.iter().map(|k| (*k).to_owned()).collect(),
+        zones: zones.iter().map(|z| (*z).to_owned()).collect(),
+        ..Names::default()
+    };
+    assert_eq!(good.check(&names(&["one"], &["a"]), 1024), Vec::<String>::new());
+    let faults = good.check(&names(&["ones"], &["b"]), 64);
+    assert_eq!(faults.len(), 5, "two services with two faults each, and the connections: {faults:?}");
+    assert!(faults[0].contains("is \"ones\" meant?") && faults[4].contains("at most 8"), "{faults:?}");
+}
--- /dev/null
+++ b/crates/consul/src/query.rs
@@ -0,0 +1,279 @@
+//! One blocking query: its index, when it is asked again, and whether an answer is to be believed. No I/O, no clock.
+//!
+//! The rules for the index are those of
+//! <https://developer.hashicorp.com/consul/api-docs/features/blocking#implementation-details>: one that goes backwards
+//! starts over, one that is 0 counts as 1, and there is a limit on how often is asked.
+
+use orchidyoke_core::interface::Micros;
+use std::fmt;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+/// Least time from one question to the next of a service that changes all the time.
+const LEAST_GAP: Micros = 50 * MS;
+/// Pauses after a failure: the first, doubled for each further one, and the longest.
+const PAUSE_FIRST: Micros = 250 * MS;
+const PAUSE_LAST: Micros = 8 * SECOND;
+/// The longest pause that Consul can ask for.
+const PAUSE_TOLD: Micros = 60 * SECOND;
+
+/// What is read of an answer beside its body.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Head {
+    /// The HTTP status.
+    pub status: u16,
+    /// `X-Consul-Index`, as it was written.
+    pub index: Option<String>,
+    /// `X-Consul-KnownLeader`; where it is missing, nothing speaks against a leader.
+    pub leaderless: bool,
+    /// `Retry-After`, in seconds.
+    pub retry_after: Option<u64>,
+}
+
+/// Why an answer is not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The server that answered knows no leader: what it has may be old, or nothing.
+    NoLeader,
+    /// The token may not read this.
+    Forbidden,
+    /// Asked too often.
+    TooMany,
+    /// Any other status than 200.
+    Status(u16),
+    /// No whole answer, or one that is not of the form.
+    Broken(String),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::NoLeader => f.write_str("the agent knows no leader"),
+            Refusal::Forbidden => f.write_str(
+                "403: the token is missing, has run out, or may not read the service and its nodes (service:read, \
+                 node:read)",
+            ),
+            Refusal::TooMany => f.write_str("429: it is asked too often"),
+            Refusal::Status(status) => write!(f, "answered {status}"),
+            Refusal::Broken(why) => f.write_str(why),
+        }
+    }
+}
+
+/// What follows from an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The body is to be read: it may be news.
+    Take,
+    /// Nothing has changed.
+    Same,
+    /// The answer says nothing; the list stays as it is.
+    Refuse(Refusal),
+}
+
+/// One blocking query on one service.
+#[derive(Clone, Debug, Default)]
+pub struct Query {
+    index: u64,
+    failures: u32,
+    /// Answers in a row that came at once though nothing had changed.
+    idle_answers: u32,
+    heard: Option<Micros>,
+    asked: Micros,
+    /// Asked for an answer at once: that an index stands still means no more than that nothing has changed.
+    visiting: bool,
+}
+
+impl Query {
+    /// Asks now; gives the index to ask with. 0 asks for an answer at once.
+    pub fn ask(&mut self, now: Micros) -> u64 {
+        (self.asked, self.visiting) = (now, false);
+        self.index
+    }
+
+    /// Asks now for an answer at once, whatever the index.
+    pub fn visit(&mut self, now: Micros) -> u64 {
+        (self.asked, self.visiting) = (now, true);
+        0
+    }
+
+    /// When it last got an answer that can be believed.
+    pub fn heard(&self) -> Option<Micros> {
+        self.heard
+    }
+
+    /// Failures since then.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// An answer has come: what it is worth, and the earliest moment of the next question. `chance` lies between 0
+    /// and 1 and keeps forwarders out of step.
+    pub fn answered(&mut self, now: Micros, head: &Head, chance: f64) -> (Verdict, Micros) {
+        let refusal = match head.status {
+            200 if head.leaderless => Refusal::NoLeader,
+            200 => return self.believed(now, head),
+            403 => Refusal::Forbidden,
+            429 => Refusal::TooMany,
+            status => Refusal::Status(status),
+        };
+        let again = self.failed(now, chance);
+        let told = head.retry_after.map_or(0, |seconds| i64::try_from(seconds).unwrap_or(i64::MAX));
+        let told = now + told.saturating_mul(SECOND).min(PAUSE_TOLD);
+        (Verdict::Refuse(refusal), again.max(told))
+    }
+
+    /// No answer, or none that can be read: the earliest moment of the next question. The body of an answer that
+    /// was to be taken may fail as well; then its index must not count.
+    pub fn failed(&mut self, now: Micros, chance: f64) -> Micros {
+        self.index = 0;
+        self.failures = self.failures.saturating_add(1);
+        let pause = (PAUSE_FIRST << (self.failures - 1).min(8)).min(PAUSE_LAST);
+        now + (pause as f64 * (0.75 + 0.5 * chance)) as Micros
+    }
+
+    fn believed(&mut self, now: Micros, head: &Head) -> (Verdict, Micros) {
+        let told = head.index.as_deref().and_then(|text| text.trim().parse::<u64>().ok());
+        let before = std::mem::take(&mut self.index);
+        (self.failures, self.heard) = (0, Some(now));
+        match told {
+            // Not a number, or none: there is nothing to wait with, so each answer comes at once.
+            None | Some(0) => (Verdict::Take, now + self.idle()),
+            // Backwards: Consul was restored or has lost its state. Ask anew; what was said just now counts.
+            Some(index) if index < before => (Verdict::Take, now + self.idle()),
+            Some(index) if index == before => {
+                self.index = index;
+                // After its whole wait this is how a blocking query ends; at once, it is an agent that does not wait.
+                let at_once = now - self.asked < SECOND && !self.visiting;
+                let pause = if at_once { self.idle() } else { 0 };
+                self.idle_answers = if at_once { self.idle_answers } else { 0 };
+                (Verdict::Same, now + pause)
+            }
+            Some(index) => {
+                (self.index, self.idle_answers) = (index, 0);
+                (Verdict::Take, now.max(self.asked + LEAST_GAP))
+            }
+        }
+    }
+
+    /// The pause where an index is of no use: it grows up to 2 s, so that neither end is kept busy.
+    fn idle(&mut self) -> Micros {
+        self.idle_answers = self.idle_answers.saturating_add(1);
+        (LEAST_GAP << (self.idle_answers - 1).min(8)).min(2 * SECOND)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn ok(index: &str) -> Head {
+        Head { status: 200, index: Some(index.to_owned()), ..Head::default() }
+    }
+
+    #[test]
+    fn the_index_goes_into_the_next_question() {
+        let mut query = Query::default();
+        assert_eq!(query.ask(0), 0);
+        assert_eq!(query.answered(3 * MS, &ok("17"), 0.5), (Verdict::Take, LEAST_GAP));
+        assert_eq!(query.ask(SECOND), 17);
+        assert_eq!(query.answered(31 * SECOND, &ok("17"), 0.5), (Verdict::Same, 31 * SECOND));
+        assert_eq!(query.ask(31 * SECOND), 17);
+        assert_eq!(query.answered(40 * SECOND, &ok("18"), 0.5), (Verdict::Take, 40 * SECOND));
+    }
+
+    #[test]
+    fn an_index_that_goes_backwards_starts_over_and_its_answer_counts() {
+        let mut query = Query::default();
+        query.answered(0, &ok("100"), 0.5);
+        query.ask(SECOND);
+        let (verdict, _) = query.answered(2 * SECOND, &ok("7"), 0.5);
+        assert_eq!((verdict, query.ask(3 * SECOND)), (Verdict::Take, 0));
+        query.answered(3 * SECOND, &ok("7"), 0.5);
+        assert_eq!(query.ask(4 * SECOND), 7);
+    }
+
+    #[test]
+    fn what_is_no_index_is_taken_with_growing_pauses() {
+        for index in [Some("0"), Some("many"), Some("-1"), Some("99999999999999999999999"), None] {
+            let (mut query, mut now) = (Query::default(), 0);
+            let mut asked = 0;
+            while now < 20 * SECOND {
+                assert_eq!(query.ask(now), 0);
+                asked += 1;
+                let head = Head { index: index.map(str::to_owned), ..ok("") };
+                let (verdict, again) = query.answered(now + MS, &head, 0.5);
+                assert_eq!(verdict, Verdict::Take, "{index:?}: an authoritative answer counts");
+                now = again;
+            }
+            assert!(asked <= 20, "{index:?}: {asked} questions in 20 s");
+        }
+    }
+
+    #[test]
+    fn an_agent_that_does_not_wait_keeps_nobody_busy() {
+        let (mut query, mut now, mut asked) = (Query::default(), 0, 0);
+        while now < 20 * SECOND {
+            query.ask(now);
+            now = query.answered(now + MS, &ok("5"), 0.5).1;
+            asked += 1;
+        }
+        assert!(asked <= 20, "{asked} questions in 20 s");
+    }
+
+    #[test]
+    fn a_visit_reads_what_is_news_and_nothing_else() {
+        let mut query = Query::default();
+        for (index, verdict) in [("5", Verdict::Take), ("5", Verdict::Same), ("6", Verdict::Take)] {
+            assert_eq!(query.visit(SECOND), 0);
+            assert_eq!(query.answered(SECOND + LEAST_GAP, &ok(index), 0.5), (verdict, SECOND + LEAST_GAP));
+        }
+    }
+
+    #[test]
+    fn refusals_say_why_and_are_asked_again_later() {
+        let cases = [
+            (Head { leaderless: true, ..ok("9") }, Refusal::NoLeader),
+            (Head { status: 403, ..Head::default() }, Refusal::Forbidden),
+            (Head { status: 404, ..Head::default() }, Refusal::Status(404)),
+            (Head { status: 429, retry_after: Some(3), ..Head::default() }, Refusal::TooMany),
+            (Head { status: 500, ..Head::default() }, Refusal::Status(500)),
+        ];
+        for (head, refusal) in cases {
+            let mut query = Query::default();
+            query.answered(0, &ok("4"), 0.5);
+            let told = head.retry_after.is_some();
+            let (verdict, again) = query.answered(SECOND, &head, 0.5);
+            assert_eq!(verdict, Verdict::Refuse(refusal));
+            assert_eq!(again, SECOND + if told { 3 * SECOND } else { PAUSE_FIRST });
+            assert_eq!((query.heard(), query.failures(), query.ask(again)), (Some(0), 1, 0));
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 300, rng_seed: prop::test_runner::RngSeed::Fixed(7), ..Default::default() })]
+
+        // Guards against a busy loop on any sequence of answers: never more than one question in LEAST_GAP in the
+        // long run, but for those whose index moves on, and never a pause without an end.
+        #[test]
+        fn no_answers_make_it_spin_or_stop(
+            answers in prop::collection::vec((0u16..6, "[0-9]{0,3}|x|-1", 0i64..40_000, any::<bool>()), 1..120)
+        ) {
+            let (mut query, mut now) = (Query::default(), 0);
+            let count = answers.len() as Micros;
+            let mut waited = 0;
+            for (status, index, took, leaderless) in answers {
+                let before = query.ask(now);
+                let status = [200, 200, 200, 403, 429, 500][usize::from(status)];
+                let head = Head { status, leaderless, ..ok(&index) };
+                let (verdict, again) = query.answered(now + took, &head, 0.5);
+                prop_assert!(again >= now + took && again <= now + took + PAUSE_TOLD);
+                prop_assert!(verdict != Verdict::Same || before == query.index);
+                waited += took;
+                now = again;
+            }
+            prop_assert!(now - waited + LEAST_GAP >= 0 && now + LEAST_GAP >= LEAST_GAP * count / 2);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consul/src/rota.rs
@@ -0,0 +1,201 @@
+//! Many services over few connections: who is asked next, and how long Consul may hold the question. No I/O, no
+//! clock.
+//!
+//! As long as there are no more services than connections, each service has a standing question, and Consul answers
+//! the moment that something changes. Beyond that the services take turns: the one that has waited longest is asked
+//! next, with no wait, so that none is starved; what a hint names comes before all others.
+
+use orchidyoke_core::interface::Micros;
+use std::collections::{BTreeSet, VecDeque};
+
+/// Between two visits of one service there is at least this time: a round of idle services is not asked for nothing.
+const ROUND_LEAST: Micros = 1_000_000;
+/// Time that a visit is taken to cost this thread; a round is so long that visits use up a tenth of it.
+const VISIT_COST: Micros = 200;
+const VISIT_SHARE: Micros = 10;
+
+/// What a connection is to ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// This service; Consul may hold the question.
+    Stand(usize),
+    /// This service; the answer is wanted at once.
+    Visit(usize),
+    /// Nothing before this moment.
+    Rest(Micros),
+}
+
+/// The order in which services are asked.
+#[derive(Debug)]
+pub struct Rota {
+    /// Services by when they are due, but for those out.
+    due: BTreeSet<(Micros, usize)>,
+    /// When each is due, unless it is out.
+    due_at: Vec<Option<Micros>>,
+    /// How early each may be asked where there is a hurry.
+    least: Vec<Micros>,
+    urgent: VecDeque<usize>,
+    /// Named by a hint while they were out: the answer may be older than the hint.
+    again: BTreeSet<usize>,
+    stands: bool,
+    round: Micros,
+}
+
+impl Rota {
+    /// So many services over so many connections (at least one).
+    pub fn new(services: usize, connections: usize) -> Self {
+        Rota {
+            due: (0..services).map(|service| (0, service)).collect(),
+            due_at: vec![Some(0); services],
+            least: vec![0; services],
+            urgent: VecDeque::new(),
+            again: BTreeSet::new(),
+            stands: services <= connections.max(1),
+            round: ROUND_LEAST.max(services as Micros * VISIT_COST * VISIT_SHARE),
+        }
+    }
+
+    /// Whether each service has a connection of its own.
+    pub fn stands(&self) -> bool {
+        self.stands
+    }
+
+    /// Time from one visit of a service to the next, where they take turns.
+    pub fn round(&self) -> Micros {
+        self.round
+    }
+
+    /// The next question for a connection that is free.
+    pub fn next(&mut self, now: Micros) -> Turn {
+        if let Some(service) = self.urgent.pop_front() {
+            return self.take(service);
+        }
+        match self.due.first().copied() {
+            Some((at, service)) if at <= now => self.take(service),
+            Some((at, _)) => Turn::Rest(at),
+            None => Turn::Rest(Micros::MAX),
+        }
+    }
+
+    fn take(&mut self, service: usize) -> Turn {
+        if let Some(at) = self.due_at[service].take() {
+            self.due.remove(&(at, service));
+        }
+        if self.stands { Turn::Stand(service) } else { Turn::Visit(service) }
+    }
+
+    /// A service that was asked may be asked again, not before this moment. `failed`: its answer was none.
+    pub fn back(&mut self, now: Micros, service: usize, not_before: Micros, failed: bool) {
+        let named = self.again.remove(&service);
+        let at = match (self.stands, failed || named) {
+            (true, _) | (false, true) => not_before,
+            (false, false) => not_before.max(now + self.round),
+        };
+        self.least[service] = not_before.max(now + ROUND_LEAST);
+        self.due_at[service] = Some(at);
+        self.due.insert((at, service));
+    }
+
+    /// Something has changed, and it is not told where: all are asked sooner, though not within [`ROUND_LEAST`] of
+    /// their last visit.
+    pub fn hurry(&mut self) {
+        if self.stands {
+            return;
+        }
+        for (service, due) in self.due_at.iter_mut().enumerate() {
+            if let Some(at) = due.as_mut().filter(|at| **at > self.least[service]) {
+                self.due.remove(&(*at, service));
+                *at = self.least[service];
+                self.due.insert((*at, service));
+            }
+        }
+    }
+
+    /// Something tells that this service has changed: it is asked next.
+    pub fn hint(&mut self, service: usize) {
+        if self.due_at[service].is_none() {
+            self.again.insert(service);
+        } else if !self.urgent.contains(&service) {
+            self.urgent.push_back(service);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const MS: Micros = 1_000;
+
+    #[test]
+    fn few_services_stand_and_many_take_turns() {
+        let mut few = Rota::new(2, 2);
+        assert_eq!(
+            (few.next(0), few.next(0), few.next(0)),
+            (Turn::Stand(0), Turn::Stand(1), Turn::Rest(Micros::MAX))
+        );
+        few.back(5, 1, 5, false);
+        assert_eq!(few.next(5), Turn::Stand(1));
+        let mut many = Rota::new(3, 2);
+        assert_eq!((many.next(0), many.next(0)), (Turn::Visit(0), Turn::Visit(1)));
+        many.back(MS, 0, MS, false);
+        assert_eq!((many.next(MS), many.next(MS)), (Turn::Visit(2), Turn::Rest(MS + ROUND_LEAST)));
+    }
+
+    #[test]
+    fn a_hint_comes_before_all_others_even_while_its_service_is_out() {
+        let mut rota = Rota::new(4, 1);
+        assert_eq!(rota.next(0), Turn::Visit(0));
+        rota.hint(3);
+        rota.hint(0);
+        assert_eq!(rota.next(0), Turn::Visit(3));
+        rota.back(MS, 0, MS, false);
+        assert_eq!(rota.next(MS), Turn::Visit(1));
+        assert_eq!((rota.next(MS), rota.next(MS)), (Turn::Visit(2), Turn::Visit(0)), "once more: it was out");
+    }
+
+    #[test]
+    fn in_a_hurry_a_round_is_short_and_never_shorter() {
+        let mut rota = Rota::new(2000, 4);
+        assert_eq!(rota.round(), 4 * ROUND_LEAST);
+        while let Turn::Visit(service) = rota.next(0) {
+            rota.back(0, service, 0, false);
+        }
+        assert_eq!(rota.next(0), Turn::Rest(4 * ROUND_LEAST));
+        for _ in 0..100 {
+            rota.hurry();
+            assert_eq!(rota.next(0), Turn::Rest(ROUND_LEAST));
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 60, rng_seed: prop::test_runner::RngSeed::Fixed(11), ..Default::default() })]
+
+        // Guards against a service that is starved, or out twice: however many there are, however often hints name
+        // the same few, each is visited within two rounds.
+        #[test]
+        fn no_service_is_starved(services in 2usize..300, connections in 1usize..8, hinted in 0usize..3, took in 1i64..4) {
+            let mut rota = Rota::new(services, connections);
+            let mut last = vec![0; services];
+            let mut out = VecDeque::new();
+            let mut now = 0;
+            let end = rota.round() * 6;
+            while now < end {
+                now += took * MS;
+                (0..hinted.min(services)).for_each(|service| rota.hint(service));
+                while out.len() < connections {
+                    let (Turn::Stand(service) | Turn::Visit(service)) = rota.next(now) else { break };
+                    prop_assert!(!out.contains(&service), "asked twice at once");
+                    last[service] = now;
+                    out.push_back(service);
+                }
+                if let Some(service) = out.pop_front() {
+                    rota.back(now, service, now, false);
+                }
+                let bound = 2 * rota.round() + (services as Micros + 1) * (1 + hinted as Micros) * took * MS;
+                prop_assert!(last.iter().all(|at| now - at <= bound), "starved");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/consul/src/standing.rs
@@ -0,0 +1,117 @@
+//! What the checks, marks and weights of an instance come to: one table, one function.
+
+use crate::api::{Check, NODE_MAINTENANCE, SERVICE_MAINTENANCE, ServiceEntry};
+use orchidyoke_core::transport_map::{Checks, State};
+
+/// A tag, or a key of the meta data with the value `true`, by which operators drain an instance.
+pub const DRAINING: &str = "draining";
+
+/// Whether an instance takes anything new, and what its checks say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether it takes anything new.
+    pub state: State,
+    /// What its checks say.
+    pub checks: Checks,
+}
+
+/// One check. A word that is not known is no leave to send.
+fn check(check: &Check) -> Checks {
+    match check.status.as_str() {
+        "passing" => Checks::Passing,
+        "warning" => Checks::Warning,
+        _ => Checks::Critical,
+    }
+}
+
+fn is_maintenance(check: &Check) -> bool {
+    let id = check.id.as_str();
+    check.status != "passing" && (id == NODE_MAINTENANCE || id.starts_with(SERVICE_MAINTENANCE))
+}
+
+/// The worst of several checks counts, those of the node among them; no check at all is as one that passes.
+///
+/// | checks | drained by maintenance, mark or weight | state | checks told |
+/// |---|---|---|---|
+/// | none, or all pass | no | in service | passing |
+/// | one warns, none critical | no | in service | warning |
+/// | one critical, or of no known status | no | in service | critical |
+/// | any | maintenance of node or instance | terminating | critical |
+/// | any | `draining` as a tag, or as meta data with `true` | terminating | as the checks say |
+/// | none, or all pass | weight for passing is 0 or less | terminating | passing |
+/// | one warns, none critical | weight for warning is 0 or less | terminating | warning |
+pub fn standing(entry: &ServiceEntry) -> Standing {
+    let worst = |a: Checks, b: Checks| match (a, b) {
+        (Checks::Critical, _) | (_, Checks::Critical) => Checks::Critical,
+        (Checks::Warning, _) | (_, Checks::Warning) => Checks::Warning,
+        _ => Checks::Passing,
+    };
+    let checks = entry.checks.iter().map(check).fold(Checks::Passing, worst);
+    let service = &entry.service;
+    let marked = service.tags.iter().any(|tag| tag == DRAINING)
+        || service.meta.get(DRAINING).is_some_and(|value| value == "true");
+    let weightless = match checks {
+        Checks::Passing => service.weights.passing <= 0,
+        Checks::Warning => service.weights.warning <= 0,
+        Checks::Critical => false,
+    };
+    let drained = marked || weightless || entry.checks.iter().any(is_maintenance);
+    Standing { state: if drained { State::Terminating } else { State::InService }, checks }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::Weights;
+
+    fn entry(checks: &[(&str, &str)]) -> ServiceEntry {
+        let check = |(id, status): &(&str, &str)| Check {
+            id: (*id).to_owned(),
+            status: (*status).to_owned(),
+            ..Check::default()
+        };
+        ServiceEntry { checks: checks.iter().map(check).collect(), ..ServiceEntry::default() }
+    }
+
+    // Guards against a line of the table that the code reads otherwise.
+    #[test]
+    fn each_combination_stands_as_the_table_says() {
+        use Checks::{Critical, Passing, Warning};
+        use State::{InService, Terminating};
+        type Case = (&'static [(&'static str, &'static str)], State, Checks);
+        let cases: [Case; 10] = [
+            (&[], InService, Passing),
+            (&[("serfHealth", "passing"), ("web", "passing")], InService, Passing),
+            (&[("serfHealth", "passing"), ("web", "warning")], InService, Warning),
+            (&[("a", "warning"), ("b", "critical"), ("c", "passing")], InService, Critical),
+            (&[("serfHealth", "critical"), ("web", "passing")], InService, Critical),
+            (&[("web", "unheard-of")], InService, Critical),
+            (&[("web", "")], InService, Critical),
+            (&[("_node_maintenance", "critical"), ("web", "passing")], Terminating, Critical),
+            (&[("_service_maintenance:web-1", "critical")], Terminating, Critical),
+            (&[("_service_maintenance:web-1", "passing")], InService, Passing),
+        ];
+        for (checks, state, told) in cases {
+            assert_eq!(standing(&entry(checks)), Standing { state, checks: told }, "{checks:?}");
+        }
+    }
+
+    #[test]
+    fn marks_and_weights_drain_whatever_the_checks_say() {
+        for (status, told) in [("passing", Checks::Passing), ("critical", Checks::Critical)] {
+            let mut tagged = entry(&[("web", status)]);
+            tagged.service.tags = vec!["v2".to_owned(), DRAINING.to_owned()];
+            assert_eq!(standing(&tagged), Standing { state: State::Terminating, checks: told });
+            let mut meta = entry(&[("web", status)]);
+            meta.service.meta.insert(DRAINING.to_owned(), "true".to_owned());
+            assert_eq!(standing(&meta), Standing { state: State::Terminating, checks: told });
+            meta.service.meta.insert(DRAINING.to_owned(), "false".to_owned());
+            assert_eq!(standing(&meta).state, State::InService);
+        }
+        let mut weightless = entry(&[("web", "warning")]);
+        weightless.service.weights = Weights { passing: 0, warning: 1 };
+        assert_eq!(standing(&weightless).state, State::InService, "the weight for passing does not count");
+        weightless.service.weights = Weights { passing: 1, warning: 0 };
+        assert_eq!(standing(&weightless).state, State::Terminating);
+    }
+}
--- /dev/null
+++ b/crates/consul/tests/source.rs
@@ -0,0 +1,431 @@
+//! The source against the stand-in Consul: what it tells, and what it does not when Consul fails.
+
+use orchidyoke_consul::Consul as Source;
+use orchidyoke_consul::settings::{Service, Settings, Tls};
+use orchidyoke_core::transport_map::{Checks, News, State, Target, TransportMap};
+use orchidyoke_node::input::Input;
+use orchidyoke_node::source::{Catalogue, Teller};
+use orchidyoke_stand_ins::Consul;
+use orchidyoke_stand_ins::certificates::Authority;
+use orchidyoke_stand_ins::consul::{Fault, Instance};
+use orchidyoke_stand_ins::forwarder::Folder;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn web(id: &str, port: u16) -> Instance {
+    Instance::new("web", "n1", id, address(port))
+}
+
+fn settings(consul: &Consul) -> Settings {
+    let service = |name: &str, destination| Service {
+        name: name.to_owned(),
+        destination,
+        kind: "one".to_owned(),
+        zone: "a".to_owned(),
+        capacity: 20.0,
+        ..Service::default()
+    };
+    Settings {
+        addresses: vec![consul.address()],
+        wait: Duration::from_secs(5),
+        services: vec![service("web", 3)],
+        networks: vec!["127.0.0.0/8".parse().expect("a network")],
+        ..Settings::default()
+    }
+}
+
+/// The map as the source tells it.
+struct Seen {
+    map: TransportMap,
+    news: UnboundedReceiver<Input>,
+}
+
+impl Seen {
+    fn follow(settings: Settings, map: TransportMap) -> Self {
+        let (inputs, news) = unbounded_channel();
+        let following = Source::new(settings).follow(map.whole(), Teller::new(1, inputs));
+        spawn_local(following);
+        Seen { map, news }
+    }
+
+    fn states(&self) -> Vec<(String, State, Checks)> {
+        let name = |target: &Target| target.uid.split(['/', '@']).nth(2).unwrap_or("").to_owned();
+        self.map.whole().targets.iter().map(|t| (name(t), t.state, t.checks)).collect()
+    }
+
+    fn take(&mut self, input: Input) {
+        let Input::News { news, .. } = input else { panic!("news only") };
+        assert!(!news.all && news.rev > self.map.rev());
+        self.map.take(&news);
+    }
+
+    /// Waits until the map holds so many endpoints.
+    async fn holds(&mut self, count: usize) {
+        while self.map.len() != count {
+            let news = timeout(PATIENCE, self.news.recv()).await;
+            self.take(
+                news.unwrap_or_else(|_| panic!("{count} are due: {:?}", self.states())).expect("followed"),
+            );
+        }
+    }
+
+    /// Waits until an endpoint stands so.
+    async fn stands(&mut self, id: &str, state: State, checks: Checks) {
+        while !self.states().contains(&(id.to_owned(), state, checks)) {
+            let news = timeout(PATIENCE, self.news.recv()).await;
+            self.take(news.unwrap_or_else(|_| panic!("{id}: {:?}", self.states())).expect("followed"));
+        }
+    }
+
+    /// Nothing is told in this time.
+    async fn is_still(&mut self, span: Duration) {
+        let told = timeout(span, self.news.recv()).await;
+        assert!(told.is_err(), "nothing was to be told: {told:?}");
+    }
+}
+
+/// Runs a test on one thread, as the forwarder does.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime
+        .block_on(LocalSet::new().run_until(async { timeout(3 * PATIENCE, test).await.expect("in time") }));
+}
+
+/// Until this holds.
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "{what} has to come");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn registering_health_marks_and_maintenance_come_as_they_happen() {
+    run(async {
+        let consul = Consul::start();
+        consul.register(web("w1", 8001));
+        consul.register(web("w2", 8002));
+        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+        seen.holds(2).await;
+        consul.status("n1", "w1", "critical");
+        seen.stands("w1", State::InService, Checks::Critical).await;
+        consul.tag("n1", "w1", "draining", true);
+        seen.stands("w1", State::Terminating, Checks::Critical).await;
+        consul.tag("n1", "w1", "draining", false);
+        consul.status("n1", "w1", "warning");
+        seen.stands("w1", State::InService, Checks::Warning).await;
+        consul.maintenance("n1", "w2", true);
+        seen.stands("w2", State::Terminating, Checks::Critical).await;
+        consul.maintenance("n1", "w2", false);
+        seen.stands("w2", State::InService, Checks::Passing).await;
+        consul.node_check("n1", "serfHealth", Some("critical"));
+        seen.stands("w1", State::InService, Checks::Critical).await;
+        seen.stands("w2", State::InService, Checks::Critical).await;
+        consul.node_check("n1", "serfHealth", None);
+        consul.deregister("n1", "w1");
+        seen.holds(1).await;
+        consul.deregister("n1", "w2");
+        seen.holds(0).await;
+    });
+}
+
+// Guards against a list emptied because Consul has nothing sensible to say, and against missing what changed meanwhile.
+#[test]
+fn no_fault_empties_the_list_and_what_changed_meanwhile_comes_after() {
+    let faults = [
+        Fault::Gone,
+        Fault::Vanishing,
+        Fault::Status(500, "No cluster leader", None),
+        Fault::Status(403, "Permission denied", None),
+        Fault::Status(404, "Invalid path", None),
+        Fault::Status(429, "Your IP is issuing too many concurrent connections", Some(1)),
+        Fault::NoLeader { whole: false },
+        Fault::NoLeader { whole: true },
+        Fault::CutShort,
+        Fault::Endless,
+        Fault::Garbage,
+    ];
+    for fault in faults {
+        run(async {
+            let consul = Consul::start();
+            consul.register(web("w1", 8001));
+            consul.register(web("w2", 8002));
+            let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+            seen.holds(2).await;
+            consul.fault(fault.clone());
+            let asked = consul.questions();
+            consul.deregister("n1", "w1");
+            consul.register(web("w3", 8003));
+            seen.is_still(Duration::from_millis(700)).await;
+            assert!(
+                consul.questions() - asked <= 8,
+                "{fault:?}: no busy loop: {}",
+                consul.questions() - asked
+            );
+            assert_eq!(seen.map.len(), 2, "{fault:?}");
+            consul.fault(Fault::None);
+            seen.stands("w3", State::InService, Checks::Passing).await;
+            seen.holds(2).await;
+        });
+    }
+}
+
+// Guards against a silence that is never noticed: the question is given up after its wait and a grace, and asked on
+// another connection; what changed in the silence comes then.
+#[test]
+fn a_silent_agent_is_asked_again_and_the_other_address_is_tried() {
+    run(async {
+        let (silent, other) = (Consul::start(), Consul::start());
+        for consul in [&silent, &other] {
+            consul.register(web("w1", 8001));
+        }
+        let wait = Duration::from_secs(1);
+        let addresses = vec![silent.address(), other.address()];
+        let mut seen =
+            Seen::follow(Settings { addresses, wait, ..settings(&silent) }, TransportMap::default());
+        seen.holds(1).await;
+        silent.fault(Fault::Silent);
+        other.register(web("w2", 8002));
+        seen.holds(2).await;
+        assert!(other.questions() > 0);
+    });
+}
+
+#[test]
+fn an_index_that_is_of_no_use_is_lived_with() {
+    for index in [Some("0"), Some("many"), Some("7"), None] {
+        run(async {
+            let consul = Consul::start();
+            consul.register(web("w1", 8001));
+            let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+            seen.holds(1).await;
+            consul.fault(Fault::Index(index));
+            consul.register(web("w2", 8002));
+            // With an index that stands still nothing tells that there is news; with none, all of it is read.
+            if index != Some("7") {
+                seen.holds(2).await;
+            }
+            let asked = consul.questions();
+            sleep(Duration::from_secs(1)).await;
+            assert!(consul.questions() - asked <= 15, "{index:?}: no busy loop");
+            consul.fault(Fault::None);
+            consul.register(web("w3", 8003));
+            seen.holds(3).await;
+        });
+    }
+}
+
+#[test]
+fn an_index_that_goes_backwards_starts_over() {
+    run(async {
+        let consul = Consul::start();
+        (0..5).for_each(|port| drop(consul.register(web(&format!("w{port}"), 8000 + port))));
+        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+        seen.holds(5).await;
+        consul.lose_index();
+        consul.deregister("n1", "w0");
+        seen.holds(4).await;
+        consul.deregister("n1", "w1");
+        seen.holds(3).await;
+    });
+}
+
+// Guards against an endpoint inherited: by an id that moves, an id on two nodes, an address with a new owner, and an
+// agent that takes all out and puts it back within a second.
+#[test]
+fn a_new_owner_of_an_address_is_a_new_endpoint() {
+    run(async {
+        let consul = Consul::start();
+        consul.register(web("w1", 8001));
+        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+        seen.holds(1).await;
+        let uid = |seen: &Seen| seen.map.whole().targets[0].uid.clone();
+        let first = uid(&seen);
+        consul.register(web("w1", 8009));
+        while uid(&seen) == first {
+            let news = seen.news.recv().await.expect("told");
+            seen.take(news);
+        }
+        consul.deregister("n1", "w1");
+        consul.register(Instance::new("web", "n2", "w1", address(8009)));
+        while !uid(&seen).contains("/n2/") {
+            let news = seen.news.recv().await.expect("told");
+            seen.take(news);
+        }
+        consul.register(Instance::new("web", "n1", "w1", address(8009)));
+        seen.holds(2).await;
+        let before = seen.map.whole().targets;
+        for (node, back) in [("n1", false), ("n2", false), ("n1", true), ("n2", true)] {
+            if back {
+                consul.register(Instance::new("web", node, "w1", address(8009)));
+            } else {
+                consul.deregister(node, "w1");
+            }
+        }
+        consul.register(Instance::new("web", "n3", "w1", address(8010)));
+        seen.holds(3).await;
+        assert_eq!(seen.map.whole().targets[..2], before);
+    });
+}
+
+#[test]
+fn a_flap_faster_than_the_query_ends_in_its_last_state() {
+    run(async {
+        let consul = Consul::start();
+        consul.register(web("w1", 8001));
+        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+        seen.holds(1).await;
+        let asked = consul.questions();
+        for turn in 0..200 {
+            consul.status("n1", "w1", if turn % 2 == 0 { "critical" } else { "passing" });
+            sleep(Duration::from_millis(1)).await;
+        }
+        consul.status("n1", "w1", "warning");
+        seen.stands("w1", State::InService, Checks::Warning).await;
+        assert!(consul.questions() - asked <= 30, "bounded: {}", consul.questions() - asked);
+    });
+}
+
+// Guards against a token or certificate that has to wait for a restart, and against an unclear refusal.
+#[test]
+fn tokens_and_certificates_are_replaced_on_the_disk() {
+    let folder = Folder::new("consul-tls");
+    let authority = Authority::new(folder.path(), "dc1");
+    let consul = Consul::start();
+    let day = time::Duration::days(1);
+    let server = authority.sign("server.dc1.consul", consul.address().ip(), day);
+    let client = authority.sign("edge.dc1.consul", consul.address().ip(), day);
+    consul.speak_tls(&server, Some(&authority.ca));
+    consul.require(Some("first"));
+    let tls = Tls {
+        ca: authority.ca.clone(),
+        cert: Some(client.cert.clone()),
+        key: Some(client.key.clone()),
+        server_name: Some("server.dc1.consul".to_owned()),
+    };
+    let token_file = Some(folder.write("token", "first\n"));
+    let settings = Settings { tls: Some(tls), token_file, ..settings(&consul) };
+    run(async {
+        consul.register(web("w1", 8001));
+        let mut seen = Seen::follow(settings.clone(), TransportMap::default());
+        seen.holds(1).await;
+        consul.require(Some("second"));
+        consul.register(web("w2", 8002));
+        seen.is_still(Duration::from_millis(300)).await;
+        folder.write("token", "second");
+        seen.holds(2).await;
+        // Another authority signs for both ends; the old certificates are worth nothing from now on.
+        let other = Authority::new(folder.path(), "dc1");
+        let server = other.sign("server.dc1.consul", consul.address().ip(), day);
+        other.sign("edge.dc1.consul", consul.address().ip(), day);
+        consul.speak_tls(&server, Some(&other.ca));
+        let (open, _) = consul.connections();
+        consul.register(web("w3", 8003));
+        seen.holds(3).await;
+        until("the connection under the old certificates closes", || consul.connections().0 <= open).await;
+    });
+}
+
+#[test]
+fn a_certificate_that_cannot_be_trusted_is_refused_in_one_line() {
+    let folder = Folder::new("consul-bad-tls");
+    let (authority, stranger) = (Authority::new(folder.path(), "dc1"), Authority::new(folder.path(), "dc2"));
+    let consul = Consul::start();
+    let ip = consul.address().ip();
+    let good = authority.sign("server.dc1.consul", ip, time::Duration::days(1));
+    let old = authority.sign("old.dc1.consul", ip, -time::Duration::days(1));
+    let cases = [
+        (&good, &authority, Some("server.dc1.consul"), None),
+        (&good, &authority, None, None),
+        (&good, &authority, Some("other.dc1.consul"), Some("is not for other.dc1.consul")),
+        (&good, &stranger, None, Some("signed by none of the authorities in")),
+        (&old, &authority, None, Some("has run out")),
+    ];
+    for (pair, ca, name, why) in cases {
+        consul.speak_tls(pair, None);
+        let tls = Tls { ca: ca.ca.clone(), server_name: name.map(str::to_owned), ..Tls::default() };
+        let settings = Settings { tls: Some(tls), ..settings(&consul) };
+        run(async {
+            let client = orchidyoke_consul::client::Client::new(settings.into());
+            match (client.connect().await, why) {
+                (Ok(_), None) => {}
+                (Err(error), Some(why)) => {
+                    let line = error.to_string();
+                    assert!(line.contains(why) && line.lines().count() == 1, "{line}");
+                }
+                (Ok(_), Some(why)) => panic!("{why}: it was trusted"),
+                (Err(error), None) => panic!("{error}"),
+            }
+        });
+    }
+}
+
+// Guards against more connections than were allowed, and against a service that is starved: 2,500 services over six
+// connections, of which 40 have an instance. All of them are found, all that leave too, and a critical check shows long
+// before the turn of its service, which comes round every 5 s.
+#[test]
+fn many_services_share_few_connections() {
+    run(async {
+        let consul = Consul::start();
+        let mut settings = Settings { connections: 6, ..settings(&consul) };
+        settings.services = (0..2500)
+            .map(|number| Service {
+                name: format!("s{number}"),
+                destination: number,
+                ..settings.services[0].clone()
+            })
+            .collect();
+        let all: Vec<u16> = (0..2500).step_by(63).collect();
+        for number in &all {
+            let instance =
+                Instance::new(&format!("s{number}"), "n1", &format!("i{number}"), address(8000 + number));
+            consul.register(instance);
+        }
+        let mut seen = Seen::follow(settings, TransportMap::default());
+        seen.holds(all.len()).await;
+        assert!(consul.connections().1 <= 6, "{:?}", consul.connections());
+        let began = Instant::now();
+        for number in &all[10..16] {
+            consul.status("n1", &format!("i{number}"), "critical");
+            seen.stands(&format!("i{number}"), State::InService, Checks::Critical).await;
+        }
+        assert!(began.elapsed() < Duration::from_secs(5), "six turns would have taken 15 s on average");
+        all.iter().for_each(|number| drop(consul.deregister("n1", &format!("i{number}"))));
+        seen.holds(0).await;
+        assert!(consul.connections().1 <= 6, "{:?}", consul.connections());
+    });
+}
+
+#[test]
+fn the_list_held_goes_on_after_a_restart_and_an_authoritative_nothing_is_obeyed() {
+    run(async {
+        let consul = Consul::start();
+        consul.register(web("w1", 8001));
+        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+        seen.holds(1).await;
+        consul.fault(Fault::Gone);
+        let mut again = Seen::follow(settings(&consul), seen.map.clone());
+        again.is_still(Duration::from_millis(300)).await;
+        consul.deregister("n1", "w1");
+        consul.fault(Fault::None);
+        again.holds(0).await;
+        let other = News { rev: 4, all: true, targets: Vec::new(), origin: String::new() };
+        let mut map = TransportMap::default();
+        map.take(&other);
+        consul.register(web("w2", 8002));
+        let mut fresh = Seen::follow(settings(&consul), map);
+        fresh.holds(1).await;
+        assert_eq!(fresh.map.rev(), 5, "versions go on from the list held");
+    });
+}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -63,7 +63,7 @@
 }
 
 /// What the journal holds. Times are Unix time in microseconds.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "is", rename_all = "snake_case")]
 pub enum Record {
     /// A message was taken on.
@@ -140,13 +140,82 @@
         into[start + 4..start + 8].copy_from_slice(&sum.to_le_bytes());
     }
 
+    /// Reads a record in two passes, its kind first: an enum tagged from within would be read by way of a buffer,
+    /// which loses numbers where some other crate has JSON numbers kept as text.
+    fn read(text: &[u8]) -> serde_json::Result<Record> {
+        #[derive(Deserialize)]
+        struct Kind<'a> {
+            is: &'a str,
+        }
+        #[derive(Deserialize)]
+        struct Begun {
+            txns: Vec<String>,
+            trace: Trace,
+        }
+        #[derive(Deserialize)]
+        struct Txn {
+            txn: String,
+        }
+        #[derive(Deserialize)]
+        struct Owed {
+            txn: String,
+            at: Micros,
+            verdict: Verdict,
+        }
+        #[derive(Deserialize)]
+        struct Over {
+            txn: String,
+            at: Micros,
+        }
+        #[derive(Deserialize)]
+        struct Superseded {
+            discovery: SocketAddr,
+        }
+        #[derive(Deserialize)]
+        struct Troubled {
+            dests: Vec<u64>,
+        }
+        fn txn(text: &[u8]) -> serde_json::Result<String> {
+            serde_json::from_slice::<Txn>(text).map(|record| record.txn)
+        }
+        let kind: Kind<'_> = serde_json::from_slice(text)?;
+        Ok(match kind.is {
+            "taken" => Record::Taken(serde_json::from_slice(text)?),
+            "begun" => {
+                let Begun { txns, trace } = serde_json::from_slice(text)?;
+                Record::Begun { txns, trace }
+            }
+            "ran" => Record::Ran { txn: txn(text)? },
+            "unseen" => Record::Unseen { txn: txn(text)? },
+            "missed" => Record::Missed { txn: txn(text)? },
+            "owed" => {
+                let Owed { txn, at, verdict } = serde_json::from_slice(text)?;
+                Record::Owed { txn, at, verdict }
+            }
+            "over" => {
+                let Over { txn, at } = serde_json::from_slice(text)?;
+                Record::Over { txn, at }
+            }
+            "map" => Record::Map(serde_json::from_slice(text)?),
+            "superseded" => {
+                let Superseded { discovery } = serde_json::from_slice(text)?;
+                Record::Superseded { discovery }
+            }
+            "troubled" => {
+                let Troubled { dests } = serde_json::from_slice(text)?;
+                Record::Troubled { dests }
+            }
+            other => return Err(serde::de::Error::custom(format!("no kind of record: {other}"))),
+        })
+    }
+
     fn decode(mut content: Bytes) -> Option<(Record, Bytes)> {
         let head = content.try_get_u32_le().ok()? as usize;
         if head > content.len() {
             return None;
         }
         let text = content.split_to(head);
-        Some((serde_json::from_slice(&text).ok()?, content))
+        Some((Record::read(&text).ok()?, content))
     }
 }
 
@@ -297,6 +366,30 @@
         assert_eq!(replay(bytes.freeze()).0.len(), 1, "a damaged record is not believed");
     }
 
+    // Guards against a kind of record that is written and not read.
+    #[test]
+    fn every_kind_of_record_is_read_as_it_was_written() {
+        let (txn, trace) = ("a\"b".to_owned(), Trace { at: i64::MAX, uid: "s".to_owned() });
+        let news = News { rev: 3, all: true, targets: Vec::new(), origin: "consul:1".to_owned() };
+        let records = [
+            taken("a"),
+            Record::Begun { txns: vec![txn.clone(), String::new()], trace },
+            Record::Ran { txn: txn.clone() },
+            Record::Unseen { txn: txn.clone() },
+            Record::Missed { txn: txn.clone() },
+            Record::Owed { txn: txn.clone(), at: -5, verdict: Verdict::Failed },
+            Record::Owed { txn: txn.clone(), at: 5, verdict: Verdict::Returned { after_ms: 7 } },
+            Record::Over { txn, at: 0 },
+            Record::Map(news),
+            Record::Superseded { discovery: "127.0.0.1:5".parse().expect("an address") },
+            Record::Troubled { dests: vec![0, u64::MAX] },
+        ];
+        let mut bytes = BytesMut::new();
+        records.iter().for_each(|record| record.encode(b"", &mut bytes));
+        let (read, _) = replay(bytes.freeze());
+        assert_eq!(read.into_iter().map(|(record, _)| record).collect::<Vec<_>>(), records);
+    }
+
     // Guards against a folder over its limit: at no time may old file and new one together pass it.
     #[test]
     fn old_and_new_file_together_keep_to_the_limit() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -37,6 +37,13 @@
 #[derive(Debug)]
 pub struct ConfigError(String);
 
+impl ConfigError {
+    /// Any other reason, in one line.
+    pub fn new(why: impl fmt::Display) -> Self {
+        ConfigError(why.to_string())
+    }
+}
+
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -3,11 +3,20 @@
 use super::config::{Config, ConfigError};
 use crate::input::Input;
 use crate::log;
+use std::future::Future;
 use std::io;
 use std::path::PathBuf;
+use std::pin::Pin;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::UnboundedSender;
 
+/// Settings beyond the platform's file, which other installations have.
+pub trait Installation {
+    /// Reads and checks them as they are now, and adds them to the configuration. It may take its time, off the
+    /// forwarder's thread.
+    fn extend(&self, config: Config) -> Pin<Box<dyn Future<Output = Result<Config, ConfigError>> + '_>>;
+}
+
 /// Where the configuration comes from: the file, and what was given apart from it.
 pub struct Source {
     /// The file.
@@ -16,12 +25,18 @@
     pub listen: Option<String>,
     /// Where discovery answers.
     pub discovery: Option<String>,
+    /// Settings beyond the file.
+    pub installation: Option<Box<dyn Installation>>,
 }
 
 impl Source {
     /// Reads and checks the configuration as it is now.
-    pub fn load(&self) -> Result<Config, ConfigError> {
-        Config::load(&self.path, self.listen.as_deref(), self.discovery.as_deref())
+    pub async fn load(&self) -> Result<Config, ConfigError> {
+        let config = Config::load(&self.path, self.listen.as_deref(), self.discovery.as_deref())?;
+        match &self.installation {
+            Some(installation) => installation.extend(config).await,
+            None => Ok(config),
+        }
     }
 }
 
@@ -37,7 +52,7 @@
     /// Reports each good configuration. A file that is missing or broken changes nothing.
     pub async fn report(mut self, source: Source, inputs: UnboundedSender<Input>) {
         while self.0.recv().await.is_some() {
-            match source.load() {
+            match source.load().await {
                 // The receiver is gone only when the forwarder ends.
                 Ok(config) => drop(inputs.send(Input::Reconfigured(Box::new(config)))),
                 Err(error) => log!("configuration: the old one stays in use: {error}"),
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -143,7 +143,7 @@
 
 async fn run(source: Source, state: &Path) -> Result<(), Box<dyn Error>> {
     let (signals, reloads) = (Signals::listen()?, Reloads::listen()?);
-    let config = source.load()?;
+    let config = source.load().await?;
     let clock = Clock::start();
     let (inputs, mut came) = unbounded_channel();
     let opened = Journal::open(state);
--- /dev/null
+++ b/crates/stand-ins/src/forwarder.rs
@@ -0,0 +1,205 @@
+//! The forwarder itself as a child process, for tests and experiments: its configuration, its log, signals, and what
+//! the system says of its use of processor and memory.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+/// What the platform's JSON says, as far as tests and experiments differ.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Where discovery and notices are.
+    pub platform: SocketAddr,
+    /// The list known at the start, in discovery's form.
+    pub targets: Vec<Value>,
+    /// Calls out at once.
+    pub slots: usize,
+    /// Messages held at once.
+    pub max_open: usize,
+    /// File descriptors.
+    pub sockets: usize,
+    /// Size of the folder.
+    pub disk_mb: f64,
+    /// How many forwarders share the partners.
+    pub fleet: usize,
+}
+
+impl Setup {
+    /// A plain one.
+    pub fn new(platform: SocketAddr) -> Self {
+        Setup {
+            platform,
+            targets: Vec::new(),
+            slots: 64,
+            max_open: 4000,
+            sockets: 1024,
+            disk_mb: 32.0,
+            fleet: 1,
+        }
+    }
+
+    /// The text of the configuration. Classes are `status` (repeatable), `refund` (dropped if repeated) and `orders`
+    /// (never repeated); the kinds `one` and `many`, the zones `a` and `b`, the tenant `acme`.
+    pub fn text(&self) -> String {
+        let class = |name: &str, effect: &str, aim: u64, limit: u64| {
+            json!({"name": name, "effect": effect, "on_time_us": aim, "hard_limit_us": limit, "credit": 1,
+                "late_share": 0.3, "group": "all", "window_us": 30_000_000})
+        };
+        json!({
+            "name": "f0", "listen": "127.0.0.1:0", "discovery": self.platform.to_string(),
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 512, "sockets": self.sockets, "disk_mb": self.disk_mb},
+            "known": {"rev": 1, "all": true, "targets": self.targets},
+            "settings": {
+                "az": "a", "zones": ["a", "b"], "fleet_size": self.fleet, "host_types": ["one", "many"],
+                "registry_mode": "pushed", "tick_us": 5000, "weights": "nominal",
+                "classes": [class("status", "retryable", 2_000_000, 12_000_000),
+                    class("refund", "dedup", 3_000_000, 20_000_000),
+                    class("orders", "fragile", 3_000_000, 20_000_000)],
+                "family_info": {"batch_by_kind": [1, 5], "own_limits": [false, false], "loses_worth": "linear",
+                    "slots": self.slots, "toll": [0.0, 0.0]},
+                "limits": {"dial_timeout_us": 1_000_000, "idle_close_us": 10_000_000, "max_open": self.max_open,
+                    "max_retry_after_us": 3_000_000, "may_cancel": true, "multiplex": 1, "retry_after": true,
+                    "second_copies": false, "try_limit": 8},
+                "rules": {"answer_slack_us": 20_000, "cold_from": 0.18, "drain_grace_us": 250_000,
+                    "fall_multiple": 2, "tip_after_us": 2_000_000, "warm_within_us": 9_400_000},
+                "tenants": [{"name": "acme", "quota_rps": 1000}],
+            }
+        })
+        .to_string()
+    }
+}
+
+/// An endpoint in discovery's form.
+pub fn target(uid: &str, endpoint: SocketAddr, destination: u64) -> Value {
+    json!({"uid": uid, "endpoint": endpoint.to_string(), "az": "a", "model": "one", "pod_group": destination,
+        "state": "in_service", "capacity_hint": 100.0, "boot_ms": 0})
+}
+
+/// A folder of its own for a test or a run, taken away when it is dropped.
+#[derive(Debug)]
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// Makes it; the name tells it from others of this process.
+    pub fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("orchidyoke-{name}-{}", std::process::id()));
+        drop(std::fs::remove_dir_all(&path));
+        std::fs::create_dir_all(path.join("state")).expect("a folder");
+        Folder(path)
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+
+    /// Writes a file into it, whole or not at all.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let (path, beside) = (self.0.join(name), self.0.join(format!("{name}.new")));
+        std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, &path)).expect("written");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.0));
+    }
+}
+
+/// A forwarder that runs. It is killed when it is dropped.
+#[derive(Debug)]
+pub struct Forwarder {
+    child: Child,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Its log from then on, line by line.
+    pub log: Receiver<String>,
+}
+
+impl Forwarder {
+    /// Starts it with `config.json` of a folder, its state in the folder's `state`, and these options.
+    pub fn start(program: &Path, folder: &Folder, options: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(["serve", "--config"])
+            .arg(folder.path().join("config.json"))
+            .arg("--state")
+            .arg(folder.path().join("state"))
+            .args(options)
+            .env("NO_COLOR", "1")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines().map_while(Result::ok);
+        let mut before = Vec::new();
+        let address = lines.by_ref().find_map(|line| {
+            before.push(line.clone());
+            line.split_once("listens on ").map(|(_, address)| address.to_owned())
+        });
+        let address = address.unwrap_or_else(|| panic!("it does not listen: {before:?}"));
+        let address = address.trim_end_matches(['"', '}']).parse().expect("an address");
+        let (sender, log) = channel();
+        thread::spawn(move || lines.for_each(|line| drop(sender.send(line))));
+        Forwarder { child, address, log }
+    }
+
+    /// The number of its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal by name, such as `HUP`.
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
+    /// Waits for its end.
+    pub fn wait(mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+
+    /// Kills it outright.
+    pub fn kill(mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    /// Waits for a line of the log with this in it.
+    pub fn logged(&self, word: &str, patience: Duration) -> Option<String> {
+        let until = std::time::Instant::now() + patience;
+        loop {
+            let left = until.checked_duration_since(std::time::Instant::now())?;
+            let line = self.log.recv_timeout(left).ok()?;
+            if line.contains(word) {
+                return Some(line);
+            }
+        }
+    }
+
+    /// Processor time used so far, and memory resident now, as the system counts them.
+    pub fn usage(&self) -> Option<(Duration, u64)> {
+        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let stat = std::fs::read_to_string(folder.join("stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        // Fields 14 and 15 of proc(5), in ticks of 10 ms; two stand before the bracket.
+        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let status = std::fs::read_to_string(folder.join("status")).ok()?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kib: u64 = resident.trim().trim_end_matches(" kB").parse().ok()?;
+        Some((Duration::from_millis(ticks * 10), kib << 10))
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/partner.rs
@@ -0,0 +1,224 @@
+//! A stand-in for a partner: the endpoints of one destination, which share what it can bear and how it is.
+//!
+//! After an outage it comes back cold: it can do a part of its capacity, and more as time goes by. Sent more than a
+//! multiple of what it can do at present, kept up for a while, it tips over and is out again.
+
+use crate::stage::{Never, Stage, loopback, serve};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// What it does with a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// Serves it.
+    #[default]
+    Serve,
+    /// Answers 503: never run.
+    Shut,
+    /// Answers 500: may have run.
+    Fail,
+    /// Says nothing.
+    Hang,
+    /// Closes the connection.
+    Reset,
+}
+
+/// What it can bear.
+#[derive(Clone, Copy, Debug)]
+pub struct Bearing {
+    /// Calls a second when warm; 0 means any number.
+    pub capacity: f64,
+    /// Part of that when it has just come back.
+    pub cold_from: f64,
+    /// Time until it is warm again.
+    pub warm_within: Duration,
+    /// It tips over at more than this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... kept up for this long.
+    pub tip_after: Duration,
+    /// Time that a call takes.
+    pub service: Duration,
+}
+
+impl Default for Bearing {
+    fn default() -> Self {
+        Bearing {
+            capacity: 0.0,
+            cold_from: 0.18,
+            warm_within: Duration::from_micros(9_400_000),
+            fall_multiple: 2.0,
+            tip_after: Duration::from_secs(2),
+            service: Duration::from_millis(5),
+        }
+    }
+}
+
+/// A call as it came.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// When its last byte had come.
+    pub at: Instant,
+    /// Which endpoint.
+    pub endpoint: SocketAddr,
+    /// The message.
+    pub txn: String,
+    /// Whether it was answered 200.
+    pub served: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mode: Mode,
+    /// How single endpoints differ from that.
+    modes: BTreeMap<SocketAddr, Mode>,
+    back_since: Option<Instant>,
+    recent: VecDeque<Instant>,
+    tips: Vec<Instant>,
+    calls: Vec<Call>,
+}
+
+impl State {
+    /// What it can do now, in calls a second.
+    fn present(&self, bearing: &Bearing, now: Instant) -> f64 {
+        let Some(since) = self.back_since else { return bearing.capacity };
+        let warm = (now - since).as_secs_f64() / bearing.warm_within.as_secs_f64().max(1e-9);
+        bearing.capacity * (bearing.cold_from + (1.0 - bearing.cold_from) * warm.min(1.0))
+    }
+
+    /// Counts an arrival; true where it is one too many and tips the partner over.
+    fn tips(&mut self, bearing: &Bearing, now: Instant) -> bool {
+        if bearing.capacity <= 0.0 || self.back_since.is_none() {
+            return false;
+        }
+        self.recent.push_back(now);
+        while self.recent.front().is_some_and(|at| now - *at > bearing.tip_after) {
+            self.recent.pop_front();
+        }
+        let most = bearing.fall_multiple * self.present(bearing, now) * bearing.tip_after.as_secs_f64();
+        self.recent.len() as f64 > most
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    bearing: Bearing,
+    state: Mutex<State>,
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn respond(
+        &self,
+        endpoint: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Option<Response<Full<Bytes>>> {
+        let (parts, body) = request.into_parts();
+        body.collect().await.ok()?;
+        let txn = parts.headers.get("X-Txn").and_then(|txn| txn.to_str().ok()).unwrap_or("").to_owned();
+        let (place, mode) = {
+            let (mut state, now) = (self.state(), Instant::now());
+            let mut mode = state.modes.get(&endpoint).copied().unwrap_or(state.mode);
+            if mode == Mode::Serve && state.tips(&self.bearing, now) {
+                state.tips.push(now);
+                (state.mode, state.back_since) = (Mode::Shut, None);
+                state.recent.clear();
+                mode = Mode::Shut;
+            }
+            state.calls.push(Call { at: now, endpoint, txn, served: false });
+            (state.calls.len() - 1, mode)
+        };
+        let status = match mode {
+            Mode::Serve => {
+                tokio::time::sleep(self.bearing.service).await;
+                self.state().calls[place].served = true;
+                200
+            }
+            Mode::Shut => 503,
+            Mode::Fail => 500,
+            Mode::Hang => match std::future::pending::<Never>().await {},
+            Mode::Reset => return None,
+        };
+        Some(Response::builder().status(status).body(Full::default()).expect("an answer"))
+    }
+}
+
+/// The partner. Its endpoints take one message in a call.
+#[derive(Clone, Debug)]
+pub struct Partner {
+    inner: Arc<Inner>,
+    stage: Arc<Stage>,
+}
+
+impl Partner {
+    /// A partner without endpoints, on a stage of its own.
+    pub fn new(bearing: Bearing) -> Self {
+        Partner::on(Arc::new(Stage::new()), bearing)
+    }
+
+    /// The same on a stage that others have too.
+    pub fn on(stage: Arc<Stage>, bearing: Bearing) -> Self {
+        Partner { inner: Arc::new(Inner { bearing, state: Mutex::default() }), stage }
+    }
+
+    /// Opens one more endpoint.
+    pub fn endpoint(&self) -> SocketAddr {
+        let listener = self.stage.listen(loopback());
+        let address = listener.local_addr().expect("a socket");
+        let inner = self.inner.clone();
+        self.stage.spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                drop(stream.set_nodelay(true));
+                let inner = inner.clone();
+                tokio::spawn(async move {
+                    let answer = |request| {
+                        let inner = inner.clone();
+                        async move { inner.respond(address, request).await }
+                    };
+                    serve(stream, answer).await;
+                });
+            }
+        });
+        address
+    }
+
+    /// All of it does this from now on.
+    pub fn set(&self, mode: Mode) {
+        self.inner.state().mode = mode;
+    }
+
+    /// One endpoint does this from now on, whatever the others do.
+    pub fn set_one(&self, endpoint: SocketAddr, mode: Mode) {
+        self.inner.state().modes.insert(endpoint, mode);
+    }
+
+    /// It serves again, and is cold.
+    pub fn come_back(&self) {
+        let mut state = self.inner.state();
+        (state.mode, state.back_since) = (Mode::Serve, Some(Instant::now()));
+        state.recent.clear();
+    }
+
+    /// What it can do now, in calls a second.
+    pub fn present(&self) -> f64 {
+        self.inner.state().present(&self.inner.bearing, Instant::now())
+    }
+
+    /// When it has tipped over.
+    pub fn tips(&self) -> Vec<Instant> {
+        self.inner.state().tips.clone()
+    }
+
+    /// All calls so far.
+    pub fn calls(&self) -> Vec<Call> {
+        self.inner.state().calls.clone()
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/stage.rs
@@ -0,0 +1,111 @@
+//! The thread on which stand-ins run, and addresses for them.
+
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Handle};
+use tokio::sync::oneshot;
+
+/// A loopback address that no other stand-in has, in this process or another of this run: a port that is given up for
+/// a while there is not taken by somebody else.
+pub fn loopback() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = (std::process::id() << 10).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+    let [_, a, b, c] = number.to_be_bytes();
+    // Neither 127.0.x.x nor the last address of all, which is for broadcasts.
+    IpAddr::V4(Ipv4Addr::new(127, 1 + a % 250, b, 1 + c % 250))
+}
+
+/// A thread with a runtime; dropping it ends all that runs there.
+#[derive(Debug)]
+pub struct Stage {
+    handle: Handle,
+    end: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Stage {
+    /// Starts the thread.
+    pub fn new() -> Self {
+        let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let handle = runtime.handle().clone();
+        let (end, ended) = oneshot::channel::<()>();
+        let thread = thread::spawn(move || drop(runtime.block_on(ended)));
+        Stage { handle, end: Some(end), thread: Some(thread) }
+    }
+
+    /// Runs this there.
+    pub fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
+        self.handle.spawn(work);
+    }
+
+    /// Listens there, at a port that is free.
+    pub fn listen(&self, address: IpAddr) -> TcpListener {
+        self.listen_at(SocketAddr::new(address, 0))
+    }
+
+    /// Listens there at this address.
+    pub fn listen_at(&self, address: SocketAddr) -> TcpListener {
+        let _inside = self.handle.enter();
+        let listener = std::net::TcpListener::bind(address).expect("the address is free");
+        listener.set_nonblocking(true).expect("a socket");
+        TcpListener::from_std(listener).expect("a socket")
+    }
+}
+
+impl Default for Stage {
+    fn default() -> Self {
+        Stage::new()
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        drop(self.end.take());
+        self.thread.take().map(thread::JoinHandle::join);
+    }
+}
+
+/// Serves HTTP/1.1 on one connection.
+pub(crate) async fn serve<S, B, F>(stream: S, answer: impl Fn(Request<Incoming>) -> F + Send)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    F: Future<Output = Option<Response<B>>> + Send,
+{
+    // No answer closes the connection, as an end that has gone away does.
+    let service = service_fn(|request| {
+        let answer = answer(request);
+        async { answer.await.ok_or(Gone) }
+    });
+    let connection =
+        http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
+    drop(connection.await);
+}
+
+/// The stand-in goes away in the middle of an exchange.
+#[derive(Debug)]
+struct Gone;
+
+impl std::fmt::Display for Gone {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("gone")
+    }
+}
+
+impl Error for Gone {}
+
+/// The body of an answer that never fails.
+pub(crate) type Never = Infallible;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,16 @@
 //! The command line.
 
 use clap::{Args, Parser, Subcommand};
-use orchidyoke_node::config::Config;
+use orchidyoke_node::config::{Config, ConfigError};
 use orchidyoke_node::reload::Source;
 use orchidyoke_node::serve::serve;
+use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+#[cfg(feature = "installations")]
+use crate::installation::{self, Script};
+
 /// Forwards messages: takes them on over HTTP, journals them, delivers each or says that it could not.
 #[derive(Parser)]
 #[command(name = "orchidyoke")]
@@ -25,11 +29,19 @@
         #[arg(long, env = "EDGE_STATE", value_name = "FOLDER")]
         state: PathBuf,
     },
-    /// Read a configuration, say whether it can be used, and print what is in it.
+    /// Read a configuration, or an installation's settings, or both; say whether they can be used, and print what is
+    /// in them.
     Check {
         #[command(flatten)]
         given: Given,
     },
+    /// Evaluate settings for another process of this program.
+    #[cfg(feature = "installations")]
+    #[command(name = installation::EVALUATE, hide = true)]
+    Evaluate {
+        /// The script.
+        script: PathBuf,
+    },
     /// Print the version.
     Version,
 }
@@ -38,22 +50,56 @@
 struct Given {
     /// The configuration, as JSON.
     #[arg(long, env = "EDGE_CONFIG", value_name = "FILE")]
-    config: PathBuf,
+    config: Option<PathBuf>,
     /// Where clients connect, in place of what the configuration says.
     #[arg(long, env = "EDGE_LISTEN", value_name = "ADDRESS:PORT")]
     listen: Option<String>,
     /// Where discovery answers, in place of what the configuration says until that is read again (SIGHUP).
     #[arg(long, env = "EDGE_DISCOVERY", value_name = "ADDRESS:PORT")]
     discovery: Option<String>,
+    /// The installation's own settings, a Starlark script; read again with the configuration at SIGHUP.
+    #[cfg(feature = "installations")]
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
 }
 
 impl Given {
-    fn source(self) -> Source {
-        Source { path: self.config, listen: self.listen, discovery: self.discovery }
+    fn source(self) -> Result<Source, ConfigError> {
+        let missing = "no configuration: give --config FILE, or EDGE_CONFIG in the environment";
+        Ok(Source {
+            path: self.config.ok_or_else(|| ConfigError::new(missing))?,
+            listen: self.listen,
+            discovery: self.discovery,
+            #[cfg(feature = "installations")]
+            installation: self.settings.map(|path| Box::new(Script(path)) as Box<_>),
+            #[cfg(not(feature = "installations"))]
+            installation: None,
+        })
+    }
+
+    #[cfg(feature = "installations")]
+    fn check(self) -> Result<(), Box<dyn Error>> {
+        let settings = self.settings.clone();
+        if let Some(path) = &settings {
+            installation::print(&installation::read(path)?);
+        }
+        if settings.is_none() || self.config.is_some() { self.check_config() } else { Ok(()) }
+    }
+
+    #[cfg(not(feature = "installations"))]
+    fn check(self) -> Result<(), Box<dyn Error>> {
+        self.check_config()
+    }
+
+    fn check_config(self) -> Result<(), Box<dyn Error>> {
+        let source = self.source()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+        print(&runtime.block_on(source.load())?);
+        Ok(())
     }
 }
 
-fn check(config: &Config) {
+fn print(config: &Config) {
     let set = &config.settings;
     println!("name: {}", config.name);
     println!("listens on {}, asks discovery at {}", config.listen, config.discovery.at_start(None));
@@ -69,8 +115,12 @@
 /// Does what the command line says. What goes wrong is said in one line.
 pub fn run() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { given, state } => serve(given.source(), &state),
-        Command::Check { given } => given.source().load().map(|config| check(&config)).map_err(Into::into),
+        Command::Serve { given, state } => {
+            given.source().map_err(Into::into).and_then(|source| serve(source, &state))
+        }
+        Command::Check { given } => given.check(),
+        #[cfg(feature = "installations")]
+        Command::Evaluate { script } => orchidyoke_config::serve(&script),
         Command::Version => {
             println!("orchidyoke {}", env!("CARGO_PKG_VERSION"));
             Ok(())
