Add the load and experiment tool with four experiments on Consul

Need: drains, silence, cold returns and scale have to be measured on real processes, with a run of each that fails. Change: crates/lab: orchidyoke-lab list and run; open-loop load with intended send times, HDR histograms, ends counted at the far ends, tables as CSV and Markdown, charts as SVG, one JSON object last, exit status 1 if a rule was broken.

--- a/crates/consul/tests/source.rs
+++ b/crates/consul/tests/source.rs
@@ -230,7 +230,9 @@
 fn an_index_that_goes_backwards_starts_over() {
     run(async {
         let consul = Consul::start();
-        (0..5).for_each(|port| drop(consul.register(web(&format!("w{port}"), 8000 + port))));
+        for port in 0..5 {
+            consul.register(web(&format!("w{port}"), 8000 + port));
+        }
         let mut seen = Seen::follow(settings(&consul), TransportMap::default());
         seen.holds(5).await;
         consul.lose_index();
@@ -401,7 +403,9 @@
             seen.stands(&format!("i{number}"), State::InService, Checks::Critical).await;
         }
         assert!(began.elapsed() < Duration::from_secs(5), "six turns would have taken 15 s on average");
-        all.iter().for_each(|number| drop(consul.deregister("n1", &format!("i{number}"))));
+        for number in &all {
+            consul.deregister("n1", &format!("i{number}"));
+        }
         seen.holds(0).await;
         assert!(consul.connections().1 <= 6, "{:?}", consul.connections());
     });
--- /dev/null
+++ b/crates/lab/src/cold.rs
@@ -0,0 +1,144 @@
+//! `consul-cold`: a partner returns healthy but cold, and Consul says that all is well again.
+
+use crate::Run;
+use crate::load;
+use crate::report::{Chart, Line, Outcome};
+use crate::site::{DESTINATION, Site, progress, script, wait_until};
+use orchidyoke_stand_ins::partner::{Bearing, Mode};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+const SPAN: Duration = Duration::from_secs(26);
+const OUT_FROM: Duration = Duration::from_secs(4);
+const BACK_FROM: Duration = Duration::from_secs(10);
+/// What the partner bears when warm, and what all forwarders together are handed, a second.
+const CAPACITY: f64 = 60.0;
+const RATE: f64 = 45.0;
+const FORWARDERS: usize = 2;
+const ENDPOINTS: usize = 3;
+
+pub fn run(run: &Run) -> Result<Outcome, String> {
+    let program = run.program()?;
+    let bearing = Bearing { capacity: CAPACITY, service: Duration::from_millis(20), ..Bearing::default() };
+    let mut sites = Vec::new();
+    for seed in run.seed..run.seed + run.seeds.max(1) {
+        let site = Site::new(&format!("cold-{seed}"), bearing);
+        for place in 0..ENDPOINTS {
+            site.register(&format!("w{place}"));
+        }
+        let mut setup = site.setup();
+        setup.fleet = FORWARDERS;
+        // Sabotage: a forwarder that believes that nothing can tip the partner over, and that it is warm at once.
+        let config = match run.sabotage {
+            false => setup.text(),
+            true => setup
+                .text()
+                .replace("\"fall_multiple\":2", "\"fall_multiple\":1000000")
+                .replace("\"cold_from\":0.18", "\"cold_from\":1.0"),
+        };
+        let script = script(site.consul.address(), CAPACITY);
+        let forwarders: Vec<_> =
+            (0..FORWARDERS).map(|number| site.forwarder(&program, number, &config, Some(&script))).collect();
+        for (_, forwarder) in &forwarders {
+            site.wait_for_list(forwarder)?;
+        }
+        sites.push((seed, site, forwarders));
+    }
+    let start = Instant::now();
+    let mut loads = Vec::new();
+    for (seed, _, forwarders) in &sites {
+        for (number, (_, forwarder)) in forwarders.iter().enumerate() {
+            let seed = seed * 1000 + number as u64;
+            let plan = load::plan(seed, RATE / FORWARDERS as f64, SPAN, &["status"], DESTINATION);
+            loads.push(load::start(forwarder.address, start, plan));
+        }
+    }
+    let bar = progress("consul-cold", SPAN);
+    wait_until(&bar, start, OUT_FROM);
+    for (_, site, _) in &sites {
+        // It is away, and Consul says so before any call shows it.
+        for place in 0..ENDPOINTS {
+            site.consul.status("n1", &format!("w{place}"), "critical");
+        }
+        site.partner.set(Mode::Shut);
+    }
+    wait_until(&bar, start, BACK_FROM);
+    for (_, site, _) in &sites {
+        site.partner.come_back();
+        for place in 0..ENDPOINTS {
+            site.consul.status("n1", &format!("w{place}"), "passing");
+        }
+    }
+    let mut bears = vec![Vec::new(); sites.len()];
+    for second in 0..SPAN.as_secs() {
+        wait_until(&bar, start, Duration::from_secs(second) + Duration::from_millis(500));
+        bears.iter_mut().zip(&sites).for_each(|(bears, (_, site, _))| bears.push(site.partner.present()));
+    }
+    wait_until(&bar, start, SPAN);
+    bar.finish_and_clear();
+    let mut handed = Vec::new();
+    for load in loads {
+        handed.push(load.join().map_err(|_| "the load has panicked")?);
+    }
+    let (mut rows, mut broken, mut tips_all, mut lost, mut duplicated) = (Vec::new(), Vec::new(), 0, 0, 0);
+    let mut sent_most = vec![0.0_f64; SPAN.as_secs() as usize];
+    let mut sent_mean = sent_most.clone();
+    for ((seed, site, _), handed) in sites.iter().zip(handed.chunks(FORWARDERS)) {
+        let (ends, tips) = (site.settle(handed), site.partner.tips().len());
+        let mut each = vec![0.0; SPAN.as_secs() as usize];
+        for call in &ends.calls {
+            let second = call.at.saturating_duration_since(start).as_secs() as usize;
+            each.get_mut(second).into_iter().for_each(|count| *count += 1.0);
+        }
+        for (second, count) in each.iter().enumerate() {
+            sent_most[second] = sent_most[second].max(*count);
+            sent_mean[second] += count / sites.len() as f64;
+        }
+        let back = BACK_FROM.as_secs() as usize;
+        let served = ends.calls.iter().filter(|c| c.served && c.at > start + BACK_FROM).count();
+        rows.push(vec![
+            seed.to_string(),
+            ends.messages.to_string(),
+            tips.to_string(),
+            format!("{:.0}", each[back..back + 4].iter().copied().fold(0.0, f64::max)),
+            served.to_string(),
+            ends.lost.to_string(),
+            ends.duplicated.to_string(),
+        ]);
+        if tips > 0 {
+            broken.push(format!("seed {seed}: the partner was tipped over {tips} times"));
+        }
+        (tips_all, lost, duplicated) = (tips_all + tips, lost + ends.lost, duplicated + ends.duplicated);
+        if served == 0 {
+            broken.push(format!("seed {seed}: nothing was delivered after the return"));
+        }
+    }
+    if lost > 0 || duplicated > 0 {
+        broken.push(format!("{lost} messages lost, {duplicated} duplicated"));
+    }
+    let points = |values: &[f64]| values.iter().enumerate().map(|(s, value)| (s as f64, *value)).collect();
+    let limit: Vec<f64> = bears[0].iter().map(|bears| bears * bearing.fall_multiple).collect();
+    let lines = vec![
+        Line { name: "sent, mean of the seeds".to_owned(), points: points(&sent_mean) },
+        Line { name: "sent, most of any seed".to_owned(), points: points(&sent_most) },
+        Line { name: "what it can do".to_owned(), points: points(&bears[0]) },
+        Line { name: "tips over if kept up for 2 s".to_owned(), points: points(&limit) },
+    ];
+    let title = "Calls each second; out from 4 s to 10 s, then back and cold".to_owned();
+    Ok(Outcome {
+        columns: vec![
+            "seed",
+            "messages",
+            "tipped over",
+            "most in a second of the first 4 back",
+            "delivered after the return",
+            "lost",
+            "duplicated",
+        ],
+        rows,
+        chart: Chart { title, x: "s".to_owned(), y: "calls a second".to_owned(), lines },
+        broken,
+        json: json!({"experiment": "consul-cold", "seed": run.seed, "seeds": run.seeds, "tip_overs": tips_all,
+            "lost": lost, "duplicated": duplicated, "unrestrained": run.sabotage}),
+    })
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,137 @@
+//! The load and experiment tool: real forwarder processes on loopback against stand-ins, results as tables and charts.
+//!
+//! The last line on standard output is one JSON object. The exit status says whether all rules were kept: 0 they were,
+//! 1 one was broken, 2 the experiment could not be run.
+
+mod cold;
+mod drain;
+mod load;
+mod report;
+mod scale;
+mod silent;
+mod site;
+
+use clap::{Args, Parser, Subcommand};
+use report::Outcome;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Experiments on the forwarder.
+#[derive(Parser)]
+#[command(name = "orchidyoke-lab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Name the experiments.
+    List,
+    /// Run one.
+    Run {
+        /// Which; see `list`.
+        name: String,
+        #[command(flatten)]
+        run: Run,
+    },
+}
+
+/// How an experiment is run.
+#[derive(Args, Clone, Debug)]
+struct Run {
+    /// Where all chance comes from.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Where the table (CSV and Markdown) and the chart (SVG) go.
+    #[arg(long, value_name = "FOLDER")]
+    out: Option<PathBuf>,
+    /// The forwarder; the one beside this program where it is left out.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+    /// Seeds run beside each other, from `seed` on (consul-cold).
+    #[arg(long, default_value_t = 20)]
+    seeds: u64,
+    /// Take away what the experiment is to prove: the run must fail.
+    #[arg(long, alias = "unrestrained")]
+    sabotage: bool,
+}
+
+impl Run {
+    fn program(&self) -> Result<PathBuf, String> {
+        let beside = || std::env::current_exe().ok().map(|path| path.with_file_name("orchidyoke"));
+        let program = self.program.clone().or_else(beside).filter(|path| path.is_file());
+        program.ok_or_else(|| {
+            "no forwarder: build it (cargo build --release) or name it with --program".to_owned()
+        })
+    }
+}
+
+/// An experiment: its name, what it shows, what sabotage takes away, and how it is run.
+struct Experiment {
+    name: &'static str,
+    shows: &'static str,
+    sabotage: &'static str,
+    run: fn(&Run) -> Result<Outcome, String>,
+}
+
+const EXPERIMENTS: [Experiment; 4] = [
+    Experiment {
+        name: "consul-drain",
+        shows: "endpoints flap, drain and vanish under load: from Consul's answer to the last new call",
+        sabotage: "the forwarder is given a fixed list in the place of Consul",
+        run: drain::run,
+    },
+    Experiment {
+        name: "consul-silent",
+        shows: "20 s of silence in several forms, beside the same load undisturbed",
+        sabotage: "Consul is well, and truly says that there are no endpoints",
+        run: silent::run,
+    },
+    Experiment {
+        name: "consul-cold",
+        shows: "a partner returns healthy but cold: what it is sent against what it can bear",
+        sabotage: "the forwarder is told that the partner bears any number (also --unrestrained)",
+        run: cold::run,
+    },
+    Experiment {
+        name: "consul-scale",
+        shows: "100, 1,000 and 10,000 endpoints: processor, memory, and time from a change to its decision",
+        sabotage: "Consul falls silent before the changes",
+        run: scale::run,
+    },
+];
+
+fn run(name: &str, run: &Run) -> Result<bool, String> {
+    let names = || EXPERIMENTS.map(|experiment| experiment.name).join(", ");
+    let experiment = EXPERIMENTS.iter().find(|experiment| experiment.name == name);
+    let experiment =
+        experiment.ok_or_else(|| format!("there is no experiment {name:?}; there are {}", names()))?;
+    let outcome = (experiment.run)(run)?;
+    if let Some(folder) = &run.out {
+        outcome.write(folder, name).map_err(|error| format!("{}: {error}", folder.display()))?;
+    }
+    println!("{}", outcome.markdown());
+    outcome.broken.iter().for_each(|rule| println!("broken: {rule}"));
+    println!("{}", outcome.json);
+    Ok(outcome.broken.is_empty())
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::List => {
+            for Experiment { name, shows, sabotage, .. } in EXPERIMENTS {
+                println!("{name}: {shows}\n    --sabotage: {sabotage}");
+            }
+            ExitCode::SUCCESS
+        }
+        Command::Run { name, run: how } => match run(&name, &how) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::FAILURE,
+            Err(error) => {
+                eprintln!("orchidyoke-lab: {error}");
+                ExitCode::from(2)
+            }
+        },
+    }
+}
--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -97,7 +97,9 @@
     site.delivers(&forwarder, "a");
     let line = forwarder.logged("n9/out", PATIENCE).expect("told once");
     assert!(line.contains("outside the networks"), "{line}");
-    (0..30).for_each(|number| drop(site.delivers(&forwarder, &format!("m{number}"))));
+    for number in 0..30 {
+        site.delivers(&forwarder, &format!("m{number}"));
+    }
     let log: Vec<String> = forwarder.log.try_iter().collect();
     assert!(log.iter().all(|line| !line.contains("192.0.2.1")), "{log:?}");
 }
