Keep large cold budgets, and believe no success sent before a bad report

The module remembered 64 sends a route (open_call), and opens_at lets a call go where fewer are remembered than the budget holds: from 65 calls in tip_after on there was no budget. And a call in flight that ended well after the report that put its route out took it for back, so the ramp ran while the partner was still away. Change: sends are remembered for tip_after and no longer; a route that reports put out counts as pushed back then. The stand-in partner turns away what is above its limit and tips only while it is cold, as the platform's rules say.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -162,6 +162,7 @@
     deviation: f64,
     weight: f64,
     limit: f64,
+    /// Calls of the last `tip_after`.
     sends: VecDeque<Micros>,
     /// Calls served, and one to come.
     served: Count,
@@ -383,8 +384,8 @@
         told.into_iter().for_each(|destination| self.mind_reports(destination));
     }
 
-    /// Health checks: a critical endpoint is passed over while its destination has one that is fit. A route that
-    /// they leave none is out until a call ends well: calls overrule a bad report, and no good one opens it.
+    /// Health checks: a critical endpoint is passed over while its destination has one that is fit. A route left
+    /// with none is out until a call ends well: calls overrule a bad report, and no good one opens it.
     fn mind_reports(&mut self, destination: DestinationId) {
         let Some(ids) = self.destinations.get(&destination).map(|d| d.endpoints.clone()) else { return };
         let places = ids.iter().map(|id| &self.endpoints[id]);
@@ -397,7 +398,9 @@
             let route = &mut self.routes[place.route];
             let unfit = !fit.contains(&place.route) && (critical || route.unfit);
             if unfit && !route.unfit {
+                // As a push-back: a call sent before it shows nothing by ending well.
                 route.health = Health::Out;
+                route.pushed = Some((route.pushed.map_or(self.now, |(first, _)| first), self.now));
             }
             route.unfit = unfit;
         }
@@ -665,12 +668,9 @@
     /// back. Only several in a row, with no success between, are laid to it as errors are.
     fn is_noise(&mut self, endpoint: EndpointId, outcome: Outcome) -> bool {
         let Some(place) = self.endpoints.get_mut(&endpoint) else { return false };
-        match outcome {
-            Outcome::Ok => place.spoilt = 0,
-            Outcome::Spoilt => place.spoilt += 1,
-            _ => {}
-        }
-        outcome == Outcome::Spoilt && place.spoilt < SPOILT_STREAK
+        let spoilt = outcome == Outcome::Spoilt;
+        place.spoilt = if outcome == Outcome::Ok { 0 } else { place.spoilt + u32::from(spoilt) };
+        spoilt && place.spoilt < SPOILT_STREAK
     }
 
     fn close_call(&mut self, id: CallId, outcome: Outcome) {
@@ -1007,8 +1007,8 @@
         route.sends.extend(std::iter::repeat_n(self.now, weight));
         route.draw_at = self.now + weight as Micros * self.set.tip_after / 2;
         route.drawn = None;
-        let surplus = route.sends.len().saturating_sub(64);
-        route.sends.drain(..surplus);
+        let old = route.sends.partition_point(|at| self.now - at >= self.set.tip_after);
+        route.sends.drain(..old);
         self.next_call += 1;
         self.call_wakes.insert((self.now + route.overdue_after(), self.next_call));
         let call = Call {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -989,3 +989,32 @@
     bench.list(ListForm::Changes, &[told(1, 0, Report::Fit)]);
     assert!(!bench.controller.troubled().is_empty(), "checks that pass do not hide calls that fail");
 }
+
+// Guards against a budget that is not kept because it is larger than what is remembered of the sends: a partner that
+// takes 400 calls a second was sent all that waited for it as soon as it could do 64 in 2 s.
+#[test]
+fn a_large_budget_binds_as_a_small_one_does() {
+    let set = Settings { slots: 400, max_open: 4000, ..settings() };
+    let large = |report| Entry { weight: 400.0, ..told(1, 0, report) };
+    let mut bench = Bench::new(set, &[large(Report::Fit)]);
+    bench.list(ListForm::Changes, &[large(Report::Critical)]);
+    let mut calls = sends(&bench.list(ListForm::Changes, &[large(Report::Fit)]));
+    calls.extend(sends(&bench.hand_in(1, 0, 3000)));
+    let mut times = Vec::new();
+    for _ in 0..400 {
+        times.extend(calls.iter().map(|_| bench.now));
+        bench.now += 20 * MS;
+        for (id, ..) in std::mem::take(&mut calls) {
+            calls.extend(sends(&bench.end(id, Outcome::Ok)));
+        }
+        calls.extend(sends(&bench.later(0)));
+    }
+    let back = times[0];
+    for (place, at) in times.iter().enumerate() {
+        let span = times[place..].iter().take_while(|other| **other - at < 2 * S).count();
+        let warm = (at + 2 * S - back) as f64 / (12 * S) as f64;
+        let bears = 2.0 * 2.0 * 400.0 * (0.2 + 0.8 * warm.min(1.0));
+        assert!(span as f64 <= bears, "{span} calls in 2 s at {} s, {bears} tip it over", (at - back) / S);
+    }
+    assert!(times.len() > 1000, "it is used: {} calls", times.len());
+}
--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -84,7 +84,9 @@
     let mut sent_most = vec![0.0_f64; SPAN.as_secs() as usize];
     let mut sent_mean = sent_most.clone();
     for ((seed, site, _), handed) in sites.iter().zip(handed.chunks(FORWARDERS)) {
-        let (ends, tips) = (site.settle(handed), site.partner.tips().len());
+        let (ends, at) = (site.settle(handed), site.partner.tips());
+        let tips = at.len();
+        let at: Vec<_> = at.iter().map(|at| format!("{:.2}", (*at - start).as_secs_f64())).collect();
         let mut each = vec![0.0; SPAN.as_secs() as usize];
         for call in &ends.calls {
             let second = call.at.saturating_duration_since(start).as_secs() as usize;
@@ -99,7 +101,7 @@
         rows.push(vec![
             seed.to_string(),
             ends.messages.to_string(),
-            tips.to_string(),
+            at.join(" "),
             format!("{:.0}", each[back..back + 4].iter().copied().fold(0.0, f64::max)),
             served.to_string(),
             ends.lost.to_string(),
@@ -129,7 +131,7 @@
         columns: vec![
             "seed",
             "messages",
-            "tipped over",
+            "tipped over at s",
             "most in a second of the first 4 back",
             "delivered after the return",
             "lost",
--- a/crates/stand-ins/src/partner.rs
+++ b/crates/stand-ins/src/partner.rs
@@ -1,7 +1,8 @@
 //! A stand-in for a partner: the endpoints of one destination, which share what it can bear and how it is.
 //!
-//! After an outage it comes back cold: it can do a part of its capacity, and more as time goes by. Sent more than a
-//! multiple of what it can do at present, kept up for a while, it tips over and is out again.
+//! What is above its limit it turns away, with no more than a second's worth at once. After an outage it comes back
+//! cold: it can do a part of its capacity, and more as time goes by. Sent more than a multiple of what it can do at
+//! present, kept up for a while, it tips over and is out again; once it is warm it does not.
 
 use crate::stage::{Never, Stage, loopback, serve};
 use bytes::Bytes;
@@ -79,6 +80,9 @@
     modes: BTreeMap<SocketAddr, Mode>,
     back_since: Option<Instant>,
     recent: VecDeque<Instant>,
+    /// Calls that it may still serve at once, and when that was counted.
+    room: f64,
+    counted: Option<Instant>,
     tips: Vec<Instant>,
     calls: Vec<Call>,
 }
@@ -91,9 +95,23 @@
         bearing.capacity * (bearing.cold_from + (1.0 - bearing.cold_from) * warm.min(1.0))
     }
 
+    /// Whether a call lies within what it can do now.
+    fn has_room(&mut self, bearing: &Bearing, now: Instant) -> bool {
+        let present = self.present(bearing, now);
+        if present <= 0.0 {
+            return true;
+        }
+        let passed = self.counted.replace(now).map_or(1.0, |then| (now - then).as_secs_f64());
+        self.room = (self.room + passed * present).min(present);
+        let has = self.room >= 1.0;
+        self.room -= f64::from(u8::from(has));
+        has
+    }
+
     /// Counts an arrival; true where it is one too many and tips the partner over.
     fn tips(&mut self, bearing: &Bearing, now: Instant) -> bool {
-        if bearing.capacity <= 0.0 || self.back_since.is_none() {
+        let cold = self.back_since.is_some_and(|since| now - since < bearing.warm_within);
+        if bearing.capacity <= 0.0 || !cold {
             return false;
         }
         self.recent.push_back(now);
@@ -133,6 +151,9 @@
                 state.recent.clear();
                 mode = Mode::Shut;
             }
+            if mode == Mode::Serve && !state.has_room(&self.bearing, now) {
+                mode = Mode::Shut;
+            }
             state.calls.push(Call { at: now, endpoint, txn, served: false });
             (state.calls.len() - 1, mode)
         };
