--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -384,7 +384,7 @@
         told.into_iter().for_each(|destination| self.mind_reports(destination));
     }
 
-    /// Health checks: a critical endpoint is passed over while its destination has one that is fit. A route left
+    /// Health checks: a critical endpoint is passed over while its destination has a fit one. A route left
     /// with none is out until a call ends well: calls overrule a bad report, and no good one opens it.
     fn mind_reports(&mut self, destination: DestinationId) {
         let Some(ids) = self.destinations.get(&destination).map(|d| d.endpoints.clone()) else { return };
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,5 +1,6 @@
 //! The one way to the log: standard error, with a bound on lines a second.
 
+use std::fmt;
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -36,15 +37,42 @@
     BUCKET.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take(Instant::now())
 }
 
+/// How lines are written to standard error.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// One line of text each, as `orchidyoke: …`.
+    #[default]
+    Text,
+    /// One JSON object each, with `timestamp`, `level`, `message` and `target`.
+    Json,
+}
+
+/// Has lines written from here on. Whoever calls it twice keeps the first form.
+pub fn start(form: Form) {
+    let plain = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
+    // An error says that another subscriber is there already: that one goes on.
+    drop(match form {
+        Form::Text => plain.without_time().with_level(false).try_init(),
+        Form::Json => {
+            plain.json().flatten_event(true).with_current_span(false).with_span_list(false).try_init()
+        }
+    });
+}
+
+/// Hands a line on. For [`log!`](crate::log), which bounds them.
+pub fn line(text: fmt::Arguments<'_>) {
+    tracing::info!(target: "orchidyoke", "{text}");
+}
+
 /// Writes a line to the log, unless too many came lately.
 #[macro_export]
 macro_rules! log {
     ($($part:tt)*) => {
         if let Some(dropped) = $crate::log::permit() {
             if dropped > 0 {
-                eprintln!("orchidyoke: {dropped} lines were dropped here");
+                $crate::log::line(format_args!("{dropped} lines were dropped here"));
             }
-            eprintln!("orchidyoke: {}", format_args!($($part)*));
+            $crate::log::line(format_args!($($part)*));
         }
     };
 }
--- /dev/null
+++ b/deploy/consul.star
@@ -0,0 +1,24 @@
+# An installation that takes its endpoints from Consul. Not for the platform, where discovery tells them.
+# orchidyoke check --settings deploy/consul.star
+
+partners = {
+    "refunds": 7,
+    "pickups": 8,
+}
+
+def follow(name):
+    return service(
+        name = name,
+        destination = partners[name],
+        kind = "one",
+        zone = "a",
+        zone_meta = "zone",
+        capacity = 20.0,
+    )
+
+consul(
+    addresses = ["127.0.0.1:8500"],
+    networks = ["127.0.0.0/8"],
+    services = [follow(name) for name in partners],
+    wait = "30s",
+)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,8 @@
 //! The command line.
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use orchidyoke_node::config::{Config, ConfigError};
+use orchidyoke_node::log;
 use orchidyoke_node::reload::Source;
 use orchidyoke_node::serve::serve;
 use std::error::Error;
@@ -28,6 +29,9 @@
         /// The folder that outlasts the process; it holds the journal.
         #[arg(long, env = "EDGE_STATE", value_name = "FOLDER")]
         state: PathBuf,
+        /// The form of the log, on standard error.
+        #[arg(long, value_enum, default_value_t = LogForm::Text)]
+        log: LogForm,
     },
     /// Read a configuration, or an installation's settings, or both; say whether they can be used, and print what is
     /// in them.
@@ -46,6 +50,23 @@
     Version,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    /// Lines of text.
+    Text,
+    /// A JSON object a line.
+    Json,
+}
+
+impl From<LogForm> for log::Form {
+    fn from(form: LogForm) -> Self {
+        match form {
+            LogForm::Text => log::Form::Text,
+            LogForm::Json => log::Form::Json,
+        }
+    }
+}
+
 #[derive(Args)]
 struct Given {
     /// The configuration, as JSON.
@@ -115,7 +136,8 @@
 /// Does what the command line says. What goes wrong is said in one line.
 pub fn run() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { given, state } => {
+        Command::Serve { given, state, log } => {
+            log::start(log.into());
             given.source().map_err(Into::into).and_then(|source| serve(source, &state))
         }
         Command::Check { given } => given.check(),
--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -233,3 +233,16 @@
         );
     }
 }
+
+// Guards against a log that no program can read: each line is an object, with the same words as the text.
+#[test]
+fn the_log_comes_as_json_too() {
+    let site = Site::new("consul-log");
+    let forwarder = Forwarder::start(Path::new(PROGRAM), &site.folder, &["--log", "json"]);
+    site.folder.write("config.json", "{");
+    forwarder.signal("HUP");
+    let line = forwarder.logged("the old one stays in use", PATIENCE).expect("refused");
+    let line: serde_json::Value = serde_json::from_str(&line).expect("an object");
+    assert!(line["message"].as_str().is_some_and(|text| text.starts_with("configuration: ")), "{line}");
+    assert!(line["timestamp"].is_string() && line["level"] == "INFO");
+}
