Sample what the cold partner bears as the run goes on

Cause: consul-cold took its first ten samples after the return, in a loop that came too late; the chart showed a cold partner before its outage. Change: one loop makes the changes and takes the samples (cold.rs); a partner that is out can do nothing (partner.rs).

--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -54,25 +54,23 @@
         }
     }
     let bar = progress("consul-cold", SPAN);
-    wait_until(&bar, start, OUT_FROM);
-    for (_, site, _) in &sites {
-        // It is away, and Consul says so before any call shows it.
-        for place in 0..ENDPOINTS {
-            site.consul.status("n1", &format!("w{place}"), "critical");
-        }
-        site.partner.set(Mode::Shut);
-    }
-    wait_until(&bar, start, BACK_FROM);
-    for (_, site, _) in &sites {
-        site.partner.come_back();
-        for place in 0..ENDPOINTS {
-            site.consul.status("n1", &format!("w{place}"), "passing");
-        }
-    }
-    let mut bears = vec![Vec::new(); sites.len()];
+    let mut bears = Vec::new();
     for second in 0..SPAN.as_secs() {
-        wait_until(&bar, start, Duration::from_secs(second) + Duration::from_millis(500));
-        bears.iter_mut().zip(&sites).for_each(|(bears, (_, site, _))| bears.push(site.partner.present()));
+        let at = Duration::from_secs(second);
+        wait_until(&bar, start, at);
+        for (_, site, _) in &sites {
+            let all = |status| (0..ENDPOINTS).for_each(|place| told(site, place, status));
+            if at == OUT_FROM {
+                // It is away, and Consul says so before any call shows it.
+                all("critical");
+                site.partner.set(Mode::Shut);
+            } else if at == BACK_FROM {
+                site.partner.come_back();
+                all("passing");
+            }
+        }
+        wait_until(&bar, start, at + Duration::from_millis(500));
+        bears.push(sites[0].1.partner.present());
     }
     wait_until(&bar, start, SPAN);
     bar.finish_and_clear();
@@ -119,11 +117,11 @@
         broken.push(format!("{lost} messages lost, {duplicated} duplicated"));
     }
     let points = |values: &[f64]| values.iter().enumerate().map(|(s, value)| (s as f64, *value)).collect();
-    let limit: Vec<f64> = bears[0].iter().map(|bears| bears * bearing.fall_multiple).collect();
+    let limit: Vec<f64> = bears.iter().map(|bears| bears * bearing.fall_multiple).collect();
     let lines = vec![
         Line { name: "sent, mean of the seeds".to_owned(), points: points(&sent_mean) },
         Line { name: "sent, most of any seed".to_owned(), points: points(&sent_most) },
-        Line { name: "what it can do".to_owned(), points: points(&bears[0]) },
+        Line { name: "what it can do".to_owned(), points: points(&bears) },
         Line { name: "tips over if kept up for 2 s".to_owned(), points: points(&limit) },
     ];
     let title = "Calls each second; out from 4 s to 10 s, then back and cold".to_owned();
@@ -144,3 +142,7 @@
             "lost": lost, "duplicated": duplicated, "unrestrained": run.sabotage}),
     })
 }
+
+fn told(site: &Site, place: usize, status: &str) {
+    site.consul.status("n1", &format!("w{place}"), status);
+}
--- a/crates/stand-ins/src/partner.rs
+++ b/crates/stand-ins/src/partner.rs
@@ -228,9 +228,10 @@
         state.recent.clear();
     }
 
-    /// What it can do now, in calls a second.
+    /// What it can do now, in calls a second; nothing while it is out.
     pub fn present(&self) -> f64 {
-        self.inner.state().present(&self.inner.bearing, Instant::now())
+        let state = self.inner.state();
+        if state.mode == Mode::Serve { state.present(&self.inner.bearing, Instant::now()) } else { 0.0 }
     }
 
     /// When it has tipped over.
