Test a kill in the middle of each fault of Consul

Need: the issue asks for SIGKILL at any of the failures; only a kill while Consul was gone was tested. Change: tests/consul.rs kills and restarts the program under nine faults, side by side, and then lets Consul go on.

--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -246,3 +246,40 @@
     assert!(line["message"].as_str().is_some_and(|text| text.starts_with("configuration: ")), "{line}");
     assert!(line["timestamp"].is_string() && line["level"] == "INFO");
 }
+
+// Guards against a list that one of Consul's failures and a kill together empty, and against changes that are not taken
+// once it is back.
+#[test]
+fn a_kill_in_the_middle_of_any_fault_leaves_the_list() {
+    let faults = [
+        Fault::Silent,
+        Fault::Vanishing,
+        Fault::Status(500, "No cluster leader", None),
+        Fault::Status(403, "Permission denied", None),
+        Fault::NoLeader { whole: false },
+        Fault::CutShort,
+        Fault::Endless,
+        Fault::Garbage,
+        Fault::Index(Some("0")),
+    ];
+    std::thread::scope(|scope| {
+        for (number, fault) in faults.into_iter().enumerate() {
+            scope.spawn(move || {
+                let site = Site::new(&format!("consul-fault-{number}"));
+                let first = site.register("w1");
+                let forwarder = site.start();
+                site.delivers(&forwarder, "a");
+                site.consul.fault(fault.clone());
+                forwarder.kill();
+                let forwarder = site.start();
+                assert_eq!(site.delivers(&forwarder, "b").endpoint, first, "{fault:?}");
+                site.consul.fault(Fault::None);
+                let second = site.register("w2");
+                site.consul.deregister("n1", "w1");
+                until("the change", || {
+                    site.delivers(&forwarder, &format!("c{}", site.partner.calls().len())).endpoint == second
+                });
+            });
+        }
+    });
+}
