Keep the trouble of a destination without endpoints over a restart

Need: a destination whose endpoints were all gone when the forwarder stopped was forgotten at the start (control.rs, Event::Troubled looked at endpoints only), so what was registered next got full load as if it were healthy. Change: such a destination gets a route that is out, which those to come inherit as they do without a restart.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -346,10 +346,15 @@
                 self.unsettled.push(*id);
             }
             Event::Troubled { destinations } => {
-                for id in destinations.iter().filter_map(|id| self.destinations.get(id)) {
-                    for route in id.endpoints.iter().map(|endpoint| self.endpoints[endpoint].route) {
-                        self.routes[route].health = Health::Out;
+                for id in destinations {
+                    let places = self.destinations.get(id).map_or(&[][..], |d| &d.endpoints);
+                    let mut routes: Vec<RouteId> = places.iter().map(|e| self.endpoints[e].route).collect();
+                    if routes.is_empty() {
+                        // One without endpoints just now keeps its trouble for those to come.
+                        routes.push(self.new_route(None));
+                        self.destinations.entry(*id).or_default().shared = Some(routes[0]);
                     }
+                    routes.into_iter().for_each(|route| self.routes[route].health = Health::Out);
                 }
             }
             Event::Settings(settings) => self.set = (**settings).clone(),
@@ -449,11 +454,8 @@
             !kept && !used.contains(id) && self.routes[*id].in_flight == 0
         };
         let place = (0..self.routes.len()).find(free).unwrap_or(self.routes.len());
-        if place == self.routes.len() {
-            self.routes.push(new)
-        } else {
-            self.routes[place] = new
-        }
+        self.routes.resize_with(self.routes.len().max(place + 1), Route::default);
+        self.routes[place] = new;
         place
     }
 
@@ -809,10 +811,8 @@
             next = next.min(self.ask_at);
         }
         let waiting = self.destinations.values().filter(|d| !d.queue.is_empty());
-        for place in waiting.flat_map(|d| &d.endpoints).map(|e| &self.endpoints[e]) {
-            let opens = self.opens_at(place.route);
-            next = next.min(if opens > self.now { opens } else { Micros::MAX });
-        }
+        let opens = waiting.flat_map(|d| &d.endpoints).map(|e| self.opens_at(self.endpoints[e].route));
+        next = opens.filter(|at| *at > self.now).fold(next, Micros::min);
         if next < self.timer_at {
             self.timer_at = next.max(self.now + 1);
             self.next_call += 1;
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -878,7 +878,7 @@
     let mut bench = Bench::new(settings(), &[entry(1, 1, 0, 0), entry(2, 2, 0, 0)]);
     assert!(bench.controller.troubled().is_empty());
     bench.step(&[Event::Troubled { destinations: vec![1, 99] }]);
-    assert_eq!(bench.controller.troubled().into_iter().collect::<Vec<_>>(), [1]);
+    assert_eq!(bench.controller.troubled().into_iter().collect::<Vec<_>>(), [1, 99]);
     let healthy = sends(&bench.hand_in(2, 0, 1));
     assert_eq!(healthy.len(), 1);
     let mut calls = sends(&bench.hand_in(1, 0, 20));
@@ -893,6 +893,58 @@
     assert!(tried <= 16, "{tried} calls in 2 s");
 }
 
+// Guards against a destination whose endpoints were all gone when the forwarder stopped: those that come after the
+// restart were taken for a healthy partner's.
+#[test]
+fn trouble_before_a_restart_outlasts_an_empty_list() {
+    for troubled in [false, true] {
+        let mut bench = Bench::new(settings(), &[]);
+        if troubled {
+            bench.step(&[Event::Troubled { destinations: vec![1, 2] }]);
+        }
+        bench.later(5 * S);
+        bench.list(ListForm::Whole, &[entry(1, 1, 0, 0)]);
+        assert_eq!(bench.controller.troubled().contains(&1), troubled);
+        let (mut calls, mut sent) = (sends(&bench.hand_in(1, 0, 80)), 0);
+        for _ in 0..20 {
+            sent += calls.len();
+            bench.now += 100 * MS;
+            for (id, ..) in std::mem::take(&mut calls) {
+                calls.extend(sends(&bench.end(id, Outcome::Ok)));
+            }
+            calls.extend(sends(&bench.later(0)));
+        }
+        // Twice a fifth of 20 calls a second, somewhat risen, for 2 s; without trouble more than that.
+        assert_eq!((1..=20).contains(&sent), troubled, "{sent} calls in 2 s, in trouble: {troubled}");
+    }
+}
+
+// Guards against a call that was out when the bad report came: it ended well, and the ramp ran while the partner was away.
+#[test]
+fn a_success_sent_before_a_bad_report_opens_nothing() {
+    for before in [true, false] {
+        let mut bench = Bench::new(settings(), &[told(1, 0, Report::Fit)]);
+        tried(&mut bench, 5 * S, Outcome::Ok, 1);
+        let mut calls = Vec::new();
+        if before {
+            calls = sends(&bench.hand_in(1, 0, 1));
+        }
+        bench.now += 10 * MS;
+        bench.list(ListForm::Changes, &[told(1, 0, Report::Critical)]);
+        bench.now += 10 * MS;
+        if !before {
+            while calls.is_empty() {
+                calls = sends(&bench.hand_in(1, 0, 1));
+                bench.now += 50 * MS;
+            }
+        }
+        bench.end(calls[0].0, Outcome::Ok);
+        // A ramp that ran from here on would be over.
+        bench.later(13 * S);
+        assert_eq!(bench.controller.troubled().is_empty(), !before, "sent before the report: {before}");
+    }
+}
+
 // Guards against a wait told beside a delivery being passed over: it binds whatever the answer was.
 #[test]
 fn a_wait_binds_whatever_the_outcome() {
--- a/crates/lab/src/cold.rs
+++ b/crates/lab/src/cold.rs
@@ -4,7 +4,7 @@
 use crate::load;
 use crate::report::{Chart, Line, Outcome};
 use crate::site::{DESTINATION, Site, progress, script, wait_until};
-use orchidyoke_stand_ins::partner::{Bearing, Mode};
+use orchidyoke_stand_ins::partner::{Above, Bearing, Mode};
 use serde_json::json;
 use std::time::{Duration, Instant};
 
@@ -12,14 +12,22 @@
 const OUT_FROM: Duration = Duration::from_secs(4);
 const BACK_FROM: Duration = Duration::from_secs(10);
 /// What the partner bears when warm, and what all forwarders together are handed, a second.
-const CAPACITY: f64 = 60.0;
-const RATE: f64 = 45.0;
+const CAPACITY: f64 = 400.0;
+const RATE: f64 = 160.0;
 const FORWARDERS: usize = 2;
 const ENDPOINTS: usize = 3;
+/// Calls that a forwarder may have out: enough for windows alone to be no protection.
+const SLOTS: usize = 512;
 
 pub fn run(run: &Run) -> Result<Outcome, String> {
     let program = run.program()?;
-    let bearing = Bearing { capacity: CAPACITY, service: Duration::from_millis(20), ..Bearing::default() };
+    // It lets calls wait rather than turn them away: no push-back helps the forwarders to keep their measure.
+    let bearing = Bearing {
+        capacity: CAPACITY,
+        service: Duration::from_millis(20),
+        above: Above::Queue,
+        ..Bearing::default()
+    };
     let mut sites = Vec::new();
     for seed in run.seed..run.seed + run.seeds.max(1) {
         let site = Site::new(&format!("cold-{seed}"), bearing);
@@ -28,6 +36,7 @@
         }
         let mut setup = site.setup();
         setup.fleet = FORWARDERS;
+        setup.slots = SLOTS;
         // Sabotage: a forwarder that believes that nothing can tip the partner over, and that it is warm at once.
         let config = match run.sabotage {
             false => setup.text(),
--- a/crates/stand-ins/src/partner.rs
+++ b/crates/stand-ins/src/partner.rs
@@ -1,8 +1,9 @@
 //! A stand-in for a partner: the endpoints of one destination, which share what it can bear and how it is.
 //!
-//! What is above its limit it turns away, with no more than a second's worth at once. After an outage it comes back
-//! cold: it can do a part of its capacity, and more as time goes by. Sent more than a multiple of what it can do at
-//! present, kept up for a while, it tips over and is out again; once it is warm it does not.
+//! What is above its limit it turns away, with no more than a second's worth at once, or it lets it wait in a line,
+//! which tells a client nothing but that answers take longer. After an outage it comes back cold: it can do a part of
+//! its capacity, and more as time goes by. Sent more than a multiple of what it can do at present, kept up for a while,
+//! it tips over and is out again, and drops what waits; once it is warm it does not.
 
 use crate::stage::{Never, Stage, loopback, serve};
 use bytes::Bytes;
@@ -14,6 +15,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Timers of the runtime are this exact.
+const TIMER_SLACK: Duration = Duration::from_millis(5);
+
 /// What it does with a call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -30,6 +34,16 @@
     Reset,
 }
 
+/// What it does with a call above its limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Above {
+    /// Answers 503 at once.
+    #[default]
+    Refuse,
+    /// Lets it wait until those before it are served, however many they are.
+    Queue,
+}
+
 /// What it can bear.
 #[derive(Clone, Copy, Debug)]
 pub struct Bearing {
@@ -45,6 +59,8 @@
     pub tip_after: Duration,
     /// Time that a call takes.
     pub service: Duration,
+    /// What becomes of calls above that.
+    pub above: Above,
 }
 
 impl Default for Bearing {
@@ -56,6 +72,7 @@
             fall_multiple: 2.0,
             tip_after: Duration::from_secs(2),
             service: Duration::from_millis(5),
+            above: Above::Refuse,
         }
     }
 }
@@ -127,6 +144,8 @@
 struct Inner {
     bearing: Bearing,
     state: Mutex<State>,
+    /// Its line: whoever holds it is next, and it says when the call before is done.
+    line: tokio::sync::Mutex<Option<Instant>>,
 }
 
 impl Inner {
@@ -134,6 +153,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits in the line; the line moves at the pace that the partner has when a call's turn comes.
+    async fn wait_in_line(&self) {
+        let mut line = self.line.lock().await;
+        let now = Instant::now();
+        let present = self.state().present(&self.bearing, now);
+        if present > 0.0 {
+            // A timer that fires late costs the line nothing.
+            let free = line.map_or(now, |free| free.max(now - TIMER_SLACK));
+            let done = free + Duration::from_secs_f64(1.0 / present);
+            tokio::time::sleep_until(done.into()).await;
+            *line = Some(done);
+        }
+    }
+
     async fn respond(
         &self,
         endpoint: SocketAddr,
@@ -151,7 +184,8 @@
                 state.recent.clear();
                 mode = Mode::Shut;
             }
-            if mode == Mode::Serve && !state.has_room(&self.bearing, now) {
+            let refuses = self.bearing.above == Above::Refuse;
+            if mode == Mode::Serve && refuses && !state.has_room(&self.bearing, now) {
                 mode = Mode::Shut;
             }
             state.calls.push(Call { at: now, endpoint, txn, served: false });
@@ -159,6 +193,12 @@
         };
         let status = match mode {
             Mode::Serve => {
+                if self.bearing.above == Above::Queue {
+                    self.wait_in_line().await;
+                    if self.state().mode != Mode::Serve {
+                        return None;
+                    }
+                }
                 tokio::time::sleep(self.bearing.service).await;
                 self.state().calls[place].served = true;
                 200
@@ -187,7 +227,7 @@
 
     /// The same on a stage that others have too.
     pub fn on(stage: Arc<Stage>, bearing: Bearing) -> Self {
-        Partner { inner: Arc::new(Inner { bearing, state: Mutex::default() }), stage }
+        Partner { inner: Arc::new(Inner { bearing, state: Mutex::default(), line: tokio::sync::Mutex::default() }), stage }
     }
 
     /// Opens one more endpoint.
