--- a/crates/stand-ins/src/consul.rs
+++ b/crates/stand-ins/src/consul.rs
@@ -4,7 +4,7 @@
 //! `…/api-docs/features/blocking`. It has one datacentre and no namespaces, applies no filters, and registers at once.
 
 use crate::certificates::Pair;
-use crate::stage::{Never, Stage, loopback, serve};
+use crate::stage::{self, Never, Stage, loopback, serve};
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -520,11 +520,9 @@
             },
             (Some(open), false) => {
                 let stream = tokio::select! {
-                    accepted = open.accept() => accepted,
+                    stream = stage::accept(open) => stream,
                     () = turned => continue,
                 };
-                let Ok((stream, _)) = stream else { continue };
-                drop(stream.set_nodelay(true));
                 tokio::spawn(connection(inner.clone(), stream));
             }
         }
--- a/crates/stand-ins/src/partner.rs
+++ b/crates/stand-ins/src/partner.rs
@@ -5,7 +5,7 @@
 //! its capacity, and more as time goes by. Sent more than a multiple of what it can do at present, kept up for a while,
 //! it tips over and is out again, and drops what waits; once it is warm it does not.
 
-use crate::stage::{Never, Stage, loopback, serve};
+use crate::stage::{Never, Stage, accept, loopback, serve};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -227,7 +227,10 @@
 
     /// The same on a stage that others have too.
     pub fn on(stage: Arc<Stage>, bearing: Bearing) -> Self {
-        Partner { inner: Arc::new(Inner { bearing, state: Mutex::default(), line: tokio::sync::Mutex::default() }), stage }
+        Partner {
+            inner: Arc::new(Inner { bearing, state: Mutex::default(), line: tokio::sync::Mutex::default() }),
+            stage,
+        }
     }
 
     /// Opens one more endpoint.
@@ -236,8 +239,8 @@
         let address = listener.local_addr().expect("a socket");
         let inner = self.inner.clone();
         self.stage.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                drop(stream.set_nodelay(true));
+            loop {
+                let stream = accept(&listener).await;
                 let inner = inner.clone();
                 tokio::spawn(async move {
                     let answer = |request| {
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the platform: discovery, with a list that changes on demand, and the place where notices go.
 
-use crate::stage::{Never, Stage, loopback, serve};
+use crate::stage::{Never, Stage, accept, loopback, serve};
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -64,7 +64,8 @@
         let state = Arc::new(Mutex::new(State { list: list.to_owned(), ..State::default() }));
         let inner = state.clone();
         stage.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = accept(&listener).await;
                 let inner = inner.clone();
                 tokio::spawn(async move {
                     let answer = |request| {
--- a/crates/stand-ins/src/stage.rs
+++ b/crates/stand-ins/src/stage.rs
@@ -11,8 +11,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Handle};
 use tokio::sync::oneshot;
 
@@ -76,6 +77,23 @@
     }
 }
 
+/// The next connection. An error, such as too many open files, is waited out and told: a stand-in that no longer
+/// listens would look like a partner that has gone.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                drop(stream.set_nodelay(true));
+                return stream;
+            }
+            Err(error) => {
+                eprintln!("stand-in: a connection could not be taken: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
 /// Serves HTTP/1.1 on one connection.
 pub(crate) async fn serve<S, B, F>(stream: S, answer: impl Fn(Request<Incoming>) -> F + Send)
 where
