Refuse stale answers beyond a bound, and leave a Consul server that is cut off

Need: with consistency = "stale" a server that had lost its leader for hours was believed (X-Consul-LastContact was not read), and one that answered 5xx or knew no leader was asked again and again though another address might know better. Change: max_stale (10 s; 100ms to 1h), refused where the leader answers; query.rs decides which refusals are the server's own, and connections then go to the next address. Stand-in: Fault::Behind. An answer within the bound counts, an empty list too, and the age says nothing under the other modes.

--- a/crates/config/src/forms.rs
+++ b/crates/config/src/forms.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 
 /// Longest wait that Consul grants.
+/// The bounds of the age that an answer may have: a leader's heartbeats are about a second apart.
+const LEAST_STALE: Duration = Duration::from_millis(100);
+const MOST_STALE: Duration = Duration::from_secs(3600);
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 const SHORTEST_WAIT: Duration = Duration::from_secs(1);
 
@@ -105,6 +108,7 @@
     datacenter: Option<String>,
     namespace: Option<String>,
     consistency: Option<String>,
+    max_stale: Option<String>,
     wait: Option<String>,
     connections: Option<usize>,
 }
@@ -119,6 +123,7 @@
         "datacenter",
         "namespace",
         "consistency",
+        "max_stale",
         "wait",
         "connections",
     ];
@@ -207,6 +212,16 @@
                 return Err(format!("consistency: {}", unknown("mode", other, known.into_iter())));
             }
         };
+        if self.max_stale.is_some() && consistency != Consistency::Stale {
+            return Err("max_stale: goes with consistency = \"stale\"; else the leader answers".to_owned());
+        }
+        let max_stale = match &self.max_stale {
+            None => usual.max_stale,
+            Some(text) => humantime::parse_duration(text)
+                .ok()
+                .filter(|age| (LEAST_STALE..=MOST_STALE).contains(age))
+                .ok_or_else(|| format!("max_stale: {text:?} is no time from 100ms to 1h, as 10s"))?,
+        };
         let connections = self.connections.unwrap_or(usual.connections);
         if connections == 0 {
             return Err("connections: at least 1 is needed".to_owned());
@@ -218,6 +233,7 @@
             datacenter: self.datacenter.clone(),
             namespace: self.namespace.clone(),
             consistency,
+            max_stale,
             wait,
             connections,
             services: self.services.iter().cloned().map(ServiceForm::into_service).collect(),
--- a/crates/config/src/words.rs
+++ b/crates/config/src/words.rs
@@ -68,7 +68,7 @@
     }
 
     /// Consul as the source of the transport map: `addresses`, `services`, `networks`, and perhaps `tls`,
-    /// `token_file`, `datacenter`, `namespace`, `consistency`, `wait` and `connections`.
+    /// `token_file`, `datacenter`, `namespace`, `consistency`, `max_stale`, `wait` and `connections`.
     fn consul<'v>(
         #[starlark(kwargs)] fields: SmallMap<String, Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
--- a/crates/consul/src/client.rs
+++ b/crates/consul/src/client.rs
@@ -196,20 +196,27 @@
         Ok(Connection { sender, driver, address, stamp })
     }
 
-    /// Whether a connection can carry a question: it is open, and its certificates are those on the disk.
+    /// Whether a connection can carry a question: it is open, to the address whose turn it is, and its certificates are
+    /// those on the disk.
     pub fn is_good(&self, connection: &Connection) -> bool {
         !connection.sender.is_closed()
+            && connection.address == self.address()
             && connection.stamp == self.settings.tls.as_ref().map(|tls| tls.stamp())
     }
 
-    /// Asks on a connection. Anything but a whole answer makes it useless.
+    /// Asks on a connection. Anything but a whole answer makes it useless; after one that shows that its server is cut
+    /// off, the next connection goes to the next address.
     pub async fn ask(
         &self,
         connection: &mut Connection,
         question: &Question,
     ) -> Result<(Head, Bytes), ClientError> {
         let answered = self.exchange(connection, question).await;
-        answered.inspect_err(|_| self.give_up(connection.address))
+        let refusal = answered.as_ref().ok().map(|(head, _)| head.refusal());
+        if refusal.is_none_or(|refusal| refusal.is_some_and(|refusal| refusal.is_of_the_server())) {
+            self.give_up(connection.address);
+        }
+        answered
     }
 
     async fn exchange(
@@ -240,7 +247,11 @@
         .await?;
         let (parts, body) = answer.into_parts();
         let body = within(BODY, ClientError::Slow, read(body)).await?;
-        Ok((head(parts.status.as_u16(), &parts.headers), body))
+        let mut head = head(parts.status.as_u16(), &parts.headers);
+        // Only servers other than the leader may answer with old data, and only if they were allowed to.
+        let limit = Some(self.settings.max_stale).filter(|_| self.settings.consistency == Consistency::Stale);
+        head.too_old = head.too_old.filter(|age| limit.is_some_and(|limit| *age > limit));
+        Ok((head, body))
     }
 }
 
@@ -272,6 +283,7 @@
         status,
         index: text("X-Consul-Index").map(str::to_owned),
         leaderless: text("X-Consul-KnownLeader") == Some("false"),
+        too_old: text("X-Consul-LastContact").and_then(|ms| ms.parse().ok()).map(Duration::from_millis),
         retry_after: text(RETRY_AFTER.as_str()).and_then(|value| value.trim().parse().ok()),
     }
 }
--- a/crates/consul/src/query.rs
+++ b/crates/consul/src/query.rs
@@ -6,6 +6,7 @@
 
 use orchidyoke_core::interface::Micros;
 use std::fmt;
+use std::time::Duration;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -26,15 +27,33 @@
     pub index: Option<String>,
     /// `X-Consul-KnownLeader`; where it is missing, nothing speaks against a leader.
     pub leaderless: bool,
+    /// `X-Consul-LastContact`, where the server's leader has been silent for longer than the settings allow.
+    pub too_old: Option<Duration>,
     /// `Retry-After`, in seconds.
     pub retry_after: Option<u64>,
 }
 
+impl Head {
+    /// Why what comes with it does not count, if it does not.
+    pub fn refusal(&self) -> Option<Refusal> {
+        match (self.status, self.too_old) {
+            (200, _) if self.leaderless => Some(Refusal::NoLeader),
+            (200, Some(age)) => Some(Refusal::TooOld(age)),
+            (200, None) => None,
+            (403, _) => Some(Refusal::Forbidden),
+            (429, _) => Some(Refusal::TooMany),
+            (status, _) => Some(Refusal::Status(status)),
+        }
+    }
+}
+
 /// Why an answer is not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refusal {
     /// The server that answered knows no leader: what it has may be old, or nothing.
     NoLeader,
+    /// The server that answered has not heard from its leader for so long: what it has may be that old.
+    TooOld(Duration),
     /// The token may not read this.
     Forbidden,
     /// Asked too often.
@@ -45,10 +64,24 @@
     Broken(String),
 }
 
+impl Refusal {
+    /// Whether another server may well know better: this one is cut off, or ill.
+    pub fn is_of_the_server(&self) -> bool {
+        match self {
+            Refusal::NoLeader | Refusal::TooOld(_) => true,
+            Refusal::Status(status) => *status >= 500,
+            Refusal::Forbidden | Refusal::TooMany | Refusal::Broken(_) => false,
+        }
+    }
+}
+
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Refusal::NoLeader => f.write_str("the agent knows no leader"),
+            Refusal::TooOld(age) => {
+                write!(f, "the server has not heard from its leader for {} s (max_stale)", age.as_secs())
+            }
             Refusal::Forbidden => f.write_str(
                 "403: the token is missing, has run out, or may not read the service and its nodes (service:read, \
                  node:read)",
@@ -110,13 +143,7 @@
     /// An answer has come: what it is worth, and the earliest moment of the next question. `chance` lies between 0
     /// and 1 and keeps forwarders out of step.
     pub fn answered(&mut self, now: Micros, head: &Head, chance: f64) -> (Verdict, Micros) {
-        let refusal = match head.status {
-            200 if head.leaderless => Refusal::NoLeader,
-            200 => return self.believed(now, head),
-            403 => Refusal::Forbidden,
-            429 => Refusal::TooMany,
-            status => Refusal::Status(status),
-        };
+        let Some(refusal) = head.refusal() else { return self.believed(now, head) };
         let again = self.failed(now, chance);
         let told = head.retry_after.map_or(0, |seconds| i64::try_from(seconds).unwrap_or(i64::MAX));
         let told = now + told.saturating_mul(SECOND).min(PAUSE_TOLD);
@@ -235,6 +262,10 @@
     fn refusals_say_why_and_are_asked_again_later() {
         let cases = [
             (Head { leaderless: true, ..ok("9") }, Refusal::NoLeader),
+            (
+                Head { too_old: Some(Duration::from_secs(11)), ..ok("9") },
+                Refusal::TooOld(Duration::from_secs(11)),
+            ),
             (Head { status: 403, ..Head::default() }, Refusal::Forbidden),
             (Head { status: 404, ..Head::default() }, Refusal::Status(404)),
             (Head { status: 429, retry_after: Some(3), ..Head::default() }, Refusal::TooMany),
--- a/crates/consul/src/settings.rs
+++ b/crates/consul/src/settings.rs
@@ -14,7 +14,7 @@
     /// The leader, by its lease.
     #[default]
     Default,
-    /// Any server, however old its data.
+    /// Any server, as long as its data is no older than `max_stale`.
     Stale,
     /// The leader, after it has asked its peers.
     Consistent,
@@ -67,6 +67,8 @@
     pub namespace: Option<String>,
     /// How fresh answers have to be.
     pub consistency: Consistency,
+    /// How old an answer may be, where any server may answer: its server's last word from the leader.
+    pub max_stale: Duration,
     /// How long Consul may hold a blocking query.
     pub wait: Duration,
     /// Connections at once, at most.
@@ -86,6 +88,7 @@
             datacenter: None,
             namespace: None,
             consistency: Consistency::Default,
+            max_stale: Duration::from_secs(10),
             wait: Duration::from_secs(30),
             connections: 64,
             services: Vec::new(),
--- a/crates/consul/tests/source.rs
+++ b/crates/consul/tests/source.rs
@@ -1,7 +1,7 @@
 //! The source against the stand-in Consul: what it tells, and what it does not when Consul fails.
 
 use orchidyoke_consul::Consul as Source;
-use orchidyoke_consul::settings::{Service, Settings, Tls};
+use orchidyoke_consul::settings::{Consistency, Service, Settings, Tls};
 use orchidyoke_core::transport_map::{Checks, News, State, Target, TransportMap};
 use orchidyoke_node::input::Input;
 use orchidyoke_node::source::{Catalogue, Teller};
@@ -181,6 +181,73 @@
     }
 }
 
+// Guards against a list taken from a server that has lost touch with its leader, and against staying with it: the next
+// address is asked. Within the limit what it says counts, an empty list too.
+#[test]
+fn a_server_that_is_behind_counts_within_the_limit_only() {
+    for (behind, counts) in [(Duration::from_secs(3), false), (Duration::from_millis(900), true)] {
+        run(async {
+            let (cut_off, other) = (Consul::start(), Consul::start());
+            for consul in [&cut_off, &other] {
+                consul.register(web("w1", 8001));
+                consul.register(web("w2", 8002));
+            }
+            let settings = Settings {
+                addresses: vec![cut_off.address(), other.address()],
+                consistency: Consistency::Stale,
+                max_stale: Duration::from_secs(1),
+                ..settings(&cut_off)
+            };
+            let mut seen = Seen::follow(settings, TransportMap::default());
+            seen.holds(2).await;
+            cut_off.fault(Fault::Behind(behind));
+            if counts {
+                seen.holds(0).await;
+                assert_eq!(other.questions(), 0);
+            } else {
+                until("a question to the other", || other.questions() > 0).await;
+                let asked = cut_off.questions();
+                other.register(web("w3", 8003));
+                seen.holds(3).await;
+                seen.is_still(Duration::from_millis(500)).await;
+                assert_eq!(cut_off.questions(), asked, "it stays with the other");
+            }
+        });
+    }
+}
+
+// Guards against an age that is minded where the leader answers: there it says nothing.
+#[test]
+fn an_age_counts_only_where_any_server_may_answer() {
+    run(async {
+        let consul = Consul::start();
+        consul.register(web("w1", 8001));
+        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+        seen.holds(1).await;
+        consul.fault(Fault::Behind(Duration::from_secs(3600)));
+        seen.holds(0).await;
+    });
+}
+
+// Guards against an agent without a leader being asked on and on while another has one.
+#[test]
+fn an_agent_without_a_leader_makes_room_for_the_next() {
+    for fault in [Fault::NoLeader { whole: true }, Fault::Status(500, "No cluster leader", None)] {
+        run(async {
+            let (cut_off, other) = (Consul::start(), Consul::start());
+            let addresses = vec![cut_off.address(), other.address()];
+            let mut seen =
+                Seen::follow(Settings { addresses, ..settings(&cut_off) }, TransportMap::default());
+            cut_off.register(web("w1", 8001));
+            seen.holds(1).await;
+            cut_off.fault(fault.clone());
+            other.register(web("w1", 8001));
+            other.register(web("w2", 8002));
+            seen.holds(2).await;
+        });
+    }
+}
+
 // Guards against a silence that is never noticed: the question is given up after its wait and a grace, and asked on
 // another connection; what changed in the silence comes then.
 #[test]
--- a/crates/stand-ins/src/consul.rs
+++ b/crates/stand-ins/src/consul.rs
@@ -9,6 +9,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
@@ -84,6 +85,8 @@
         /// The whole list, or an empty one.
         whole: bool,
     },
+    /// A server that has not heard from its leader for so long: it knows of no instances, and says how old that is.
+    Behind(Duration),
     /// Half an answer, and then the end.
     CutShort,
     /// An answer that goes on for ever.
@@ -391,6 +394,13 @@
                 Fault::Gone | Fault::Vanishing => return None,
                 Fault::Status(status, text, after) => return Some(plain(status, text, after)),
                 Fault::NoLeader { whole } => return Some(self.leaderless(&path, whole)),
+                Fault::Behind(contact) => {
+                    let index = Some("1".to_owned());
+                    let mut answer = told(b"[]".to_vec(), index, true);
+                    let contact = HeaderValue::from(contact.as_millis() as u64);
+                    answer.headers_mut().insert("X-Consul-LastContact", contact);
+                    return Some(answer);
+                }
                 Fault::CutShort => {
                     return Some(Response::new(half(b"[{\"Node\":{\"Node\":\"n1\"".repeat(8))));
                 }
