Test the source's change under full load, and maintenance that ends on a cold partner

Need: both hard cases stood as module tests or at a few messages only. Change: four clients hand in orders (never repeated) without a pause while six reloads change the source between discovery and Consul; and 900 messages wait through maintenance for a partner that comes back cold and queues, with a control that is told that nothing tips it over.

--- a/crates/stand-ins/src/forwarder.rs
+++ b/crates/stand-ins/src/forwarder.rs
@@ -113,6 +113,25 @@
     }
 }
 
+/// Hands in a message as a client does, on a connection of its own; gives the status, 0 where there is none.
+pub fn hand_in(forwarder: SocketAddr, class: &str, txn: &str, destination: u64) -> u16 {
+    let exchange = || -> std::io::Result<u16> {
+        let mut stream = TcpStream::connect(forwarder)?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        let body = format!("body of {txn}");
+        write!(
+            stream,
+            "POST /{class} HTTP/1.1\r\nHost: forwarder\r\nX-Txn: {txn}\r\nX-Org: acme\r\nX-Remaining: 12.0\r\n\
+             X-Consignee: dest={destination}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0))
+    };
+    exchange().unwrap_or(0)
+}
+
 /// A forwarder that runs. It is killed when it is dropped.
 #[derive(Debug)]
 pub struct Forwarder {
@@ -157,21 +176,7 @@
 
     /// Hands in a message as a client does, on a connection of its own; gives the status, 0 where there is none.
     pub fn hand_in(&self, class: &str, txn: &str, destination: u64) -> u16 {
-        let exchange = || -> std::io::Result<u16> {
-            let mut stream = TcpStream::connect(self.address)?;
-            stream.set_read_timeout(Some(Duration::from_secs(10)))?;
-            let body = format!("body of {txn}");
-            write!(
-                stream,
-                "POST /{class} HTTP/1.1\r\nHost: forwarder\r\nX-Txn: {txn}\r\nX-Org: acme\r\nX-Remaining: 12.0\r\n\
-                 X-Consignee: dest={destination}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
-                body.len()
-            )?;
-            let mut answer = String::new();
-            stream.read_to_string(&mut answer)?;
-            Ok(answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0))
-        };
-        exchange().unwrap_or(0)
+        hand_in(self.address, class, txn, destination)
     }
 
     /// Sends it a signal by name, such as `HUP`.
--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -1,12 +1,14 @@
 //! The program with Consul as the source of its transport map: real sockets, a stand-in Consul, kills and reloads.
 
 use orchidyoke_stand_ins::consul::{Fault, Instance};
-use orchidyoke_stand_ins::forwarder::{Folder, Setup, target};
-use orchidyoke_stand_ins::partner::{Bearing, Call, Mode};
+use orchidyoke_stand_ins::forwarder::{Folder, Setup, hand_in, target};
+use orchidyoke_stand_ins::partner::{Above, Bearing, Call, Mode};
 use orchidyoke_stand_ins::{Consul, Forwarder, Partner, Platform};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -174,6 +176,99 @@
     assert!(site.platform.notices().is_empty(), "none is lost: {:?}", site.platform.notices());
 }
 
+// Guards against a message lost, or one that may have run repeated, when the source changes while hundreds are under way:
+// four clients hand in as fast as they are answered, while the source changes six times and endpoints of both stay up.
+#[test]
+fn the_source_changes_back_and_forth_under_full_load() {
+    let site = Site::new("consul-swap");
+    let listed = site.partner.endpoint();
+    let told = serde_json::json!({"rev": 9, "all": true, "targets": [target("s1", listed, 3)]}).to_string();
+    site.platform.tell(&told);
+    let from_consul = site.register("w1");
+    let (none, some) = ("# nothing\n".to_owned(), script(site.consul.address()));
+    let settings = site.folder.write("edge.star", &none).display().to_string();
+    let forwarder = Forwarder::start(Path::new(PROGRAM), &site.folder, &["--settings", &settings]);
+    site.delivers(&forwarder, "first");
+    let (over, door) = (AtomicBool::new(false), forwarder.address);
+    let taken: Vec<String> = std::thread::scope(|scope| {
+        let client = |number: usize| {
+            let over = &over;
+            scope.spawn(move || {
+                let mut taken = Vec::new();
+                while !over.load(Ordering::Relaxed) {
+                    let txn = format!("t{number}-{}", taken.len());
+                    assert_eq!(hand_in(door, "orders", &txn, 3), 202, "{txn}");
+                    taken.push(txn);
+                }
+                taken
+            })
+        };
+        let clients: Vec<_> = (0..4).map(client).collect();
+        for (text, source) in [&some, &none].into_iter().zip([from_consul, listed]).cycle().take(6) {
+            let before = site.partner.calls().len();
+            site.folder.write("edge.star", text);
+            forwarder.signal("HUP");
+            until("calls by the new source", || {
+                let calls = site.partner.calls();
+                let last = &calls[calls.len().saturating_sub(20)..];
+                calls.len() >= before + 100 && last.iter().all(|call| call.endpoint == source)
+            });
+        }
+        over.store(true, Ordering::Relaxed);
+        clients.into_iter().flat_map(|client| client.join().expect("a client")).collect()
+    });
+    let count = || {
+        let mut count: BTreeMap<String, usize> = BTreeMap::new();
+        site.partner.calls().into_iter().for_each(|call| *count.entry(call.txn).or_default() += 1);
+        count
+    };
+    until("each message's call", || {
+        let count = count();
+        taken.iter().all(|txn| count.contains_key(txn))
+    });
+    let repeated: Vec<_> = count().into_iter().filter(|(_, calls)| *calls > 1).collect();
+    assert!(taken.len() >= 600 && repeated.is_empty(), "of {}: {repeated:?}", taken.len());
+    assert!(site.platform.notices().is_empty(), "none is lost: {:?}", site.platform.notices());
+}
+
+// Guards against all that has waited being sent at once when maintenance ends: Consul calls the partner well, and it is
+// cold. A forwarder that is told that nothing tips the partner over does so, or the test would show nothing.
+#[test]
+fn maintenance_that_ends_while_the_partner_is_cold_starts_the_ramp() {
+    std::thread::scope(|scope| {
+        for restrained in [true, false] {
+            scope.spawn(move || {
+                let mut site = Site::new(&format!("consul-maintenance-{restrained}"));
+                let (capacity, above) = (400.0, Above::Queue);
+                site.partner = Partner::new(Bearing { capacity, above, ..Bearing::default() });
+                site.folder.write("edge.star", &script(site.consul.address()).replace("100.0", "400.0"));
+                let setup = Setup { slots: 512, ..Setup::new(site.platform.address()) };
+                let bold = [("\"fall_multiple\":2", "\"fall_multiple\":1000000"), ("0.18", "1.0")];
+                let text =
+                    bold.iter().filter(|_| !restrained).fold(setup.text(), |t, (a, b)| t.replace(a, b));
+                site.folder.write("config.json", &text);
+                site.register("w1");
+                let forwarder = site.start();
+                site.delivers(&forwarder, "first");
+                let index = site.consul.maintenance("n1", "w1", true);
+                until("the maintenance", || site.consul.told_at("web", index).is_some());
+                std::thread::sleep(Duration::from_millis(250));
+                for number in 0..900 {
+                    assert_eq!(forwarder.hand_in("status", &format!("m{number}"), 3), 202);
+                }
+                assert_eq!(site.partner.calls().len(), 1, "nothing goes during maintenance");
+                site.partner.come_back();
+                site.consul.maintenance("n1", "w1", false);
+                until("what comes of it", || {
+                    let calls = site.partner.calls();
+                    !site.partner.tips().is_empty() || calls.iter().filter(|call| call.served).count() > 600
+                });
+                assert_eq!(site.partner.tips().is_empty(), restrained, "restrained: {restrained}");
+            });
+        }
+    });
+}
+
 // Guards against a partner that calls show to be well and a report calls critical, or the other way round.
 #[test]
 fn reports_and_calls_that_contradict_each_other() {
