--- a/crates/consul/tests/source.rs
+++ b/crates/consul/tests/source.rs
@@ -101,6 +101,17 @@
         .block_on(LocalSet::new().run_until(async { timeout(3 * PATIENCE, test).await.expect("in time") }));
 }
 
+/// A Consul with so many instances, `w1` and on at ports from 8001, and what a source that follows it has seen: all.
+async fn followed(count: u16) -> (Consul, Seen) {
+    let consul = Consul::start();
+    for number in 1..=count {
+        consul.register(web(&format!("w{number}"), 8000 + number));
+    }
+    let mut seen = Seen::follow(settings(&consul), TransportMap::default());
+    seen.holds(usize::from(count)).await;
+    (consul, seen)
+}
+
 /// Until this holds.
 async fn until(what: &str, holds: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
@@ -113,11 +124,7 @@
 #[test]
 fn registering_health_marks_and_maintenance_come_as_they_happen() {
     run(async {
-        let consul = Consul::start();
-        consul.register(web("w1", 8001));
-        consul.register(web("w2", 8002));
-        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-        seen.holds(2).await;
+        let (consul, mut seen) = followed(2).await;
         consul.status("n1", "w1", "critical");
         seen.stands("w1", State::InService, Checks::Critical).await;
         consul.tag("n1", "w1", "draining", true);
@@ -158,11 +165,7 @@
     ];
     for fault in faults {
         run(async {
-            let consul = Consul::start();
-            consul.register(web("w1", 8001));
-            consul.register(web("w2", 8002));
-            let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-            seen.holds(2).await;
+            let (consul, mut seen) = followed(2).await;
             consul.fault(fault.clone());
             let asked = consul.questions();
             consul.deregister("n1", "w1");
@@ -220,10 +223,7 @@
 #[test]
 fn an_age_counts_only_where_any_server_may_answer() {
     run(async {
-        let consul = Consul::start();
-        consul.register(web("w1", 8001));
-        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-        seen.holds(1).await;
+        let (consul, mut seen) = followed(1).await;
         consul.fault(Fault::Behind(Duration::from_secs(3600)));
         seen.holds(0).await;
     });
@@ -273,10 +273,7 @@
 fn an_index_that_is_of_no_use_is_lived_with() {
     for index in [Some("0"), Some("many"), Some("7"), None] {
         run(async {
-            let consul = Consul::start();
-            consul.register(web("w1", 8001));
-            let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-            seen.holds(1).await;
+            let (consul, mut seen) = followed(1).await;
             consul.fault(Fault::Index(index));
             consul.register(web("w2", 8002));
             // With an index that stands still nothing tells that there is news; with none, all of it is read.
@@ -296,16 +293,11 @@
 #[test]
 fn an_index_that_goes_backwards_starts_over() {
     run(async {
-        let consul = Consul::start();
-        for port in 0..5 {
-            consul.register(web(&format!("w{port}"), 8000 + port));
-        }
-        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-        seen.holds(5).await;
+        let (consul, mut seen) = followed(5).await;
         consul.lose_index();
-        consul.deregister("n1", "w0");
-        seen.holds(4).await;
         consul.deregister("n1", "w1");
+        seen.holds(4).await;
+        consul.deregister("n1", "w2");
         seen.holds(3).await;
     });
 }
@@ -315,10 +307,7 @@
 #[test]
 fn a_new_owner_of_an_address_is_a_new_endpoint() {
     run(async {
-        let consul = Consul::start();
-        consul.register(web("w1", 8001));
-        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-        seen.holds(1).await;
+        let (consul, mut seen) = followed(1).await;
         let uid = |seen: &Seen| seen.map.whole().targets[0].uid.clone();
         let first = uid(&seen);
         consul.register(web("w1", 8009));
@@ -351,10 +340,7 @@
 #[test]
 fn a_flap_faster_than_the_query_ends_in_its_last_state() {
     run(async {
-        let consul = Consul::start();
-        consul.register(web("w1", 8001));
-        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-        seen.holds(1).await;
+        let (consul, mut seen) = followed(1).await;
         let asked = consul.questions();
         for turn in 0..200 {
             consul.status("n1", "w1", if turn % 2 == 0 { "critical" } else { "passing" });
@@ -481,10 +467,7 @@
 #[test]
 fn the_list_held_goes_on_after_a_restart_and_an_authoritative_nothing_is_obeyed() {
     run(async {
-        let consul = Consul::start();
-        consul.register(web("w1", 8001));
-        let mut seen = Seen::follow(settings(&consul), TransportMap::default());
-        seen.holds(1).await;
+        let (consul, seen) = followed(1).await;
         consul.fault(Fault::Gone);
         let mut again = Seen::follow(settings(&consul), seen.map.clone());
         again.is_still(Duration::from_millis(300)).await;
--- a/crates/stand-ins/src/partner.rs
+++ b/crates/stand-ins/src/partner.rs
@@ -5,7 +5,7 @@
 //! its capacity, and more as time goes by. Sent more than a multiple of what it can do at present, kept up for a while,
 //! it tips over and is out again, and drops what waits; once it is warm it does not.
 
-use crate::stage::{Never, Stage, accept, loopback, serve};
+use crate::stage::{Never, Stage, loopback};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -238,18 +238,9 @@
         let listener = self.stage.listen(loopback());
         let address = listener.local_addr().expect("a socket");
         let inner = self.inner.clone();
-        self.stage.spawn(async move {
-            loop {
-                let stream = accept(&listener).await;
-                let inner = inner.clone();
-                tokio::spawn(async move {
-                    let answer = |request| {
-                        let inner = inner.clone();
-                        async move { inner.respond(address, request).await }
-                    };
-                    serve(stream, answer).await;
-                });
-            }
+        self.stage.host(listener, move |request| {
+            let inner = inner.clone();
+            async move { inner.respond(address, request).await }
         });
         address
     }
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the platform: discovery, with a list that changes on demand, and the place where notices go.
 
-use crate::stage::{Never, Stage, accept, loopback, serve};
+use crate::stage::{Never, Stage, loopback};
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -63,19 +63,7 @@
         let address = listener.local_addr().expect("a socket");
         let state = Arc::new(Mutex::new(State { list: list.to_owned(), ..State::default() }));
         let inner = state.clone();
-        stage.spawn(async move {
-            loop {
-                let stream = accept(&listener).await;
-                let inner = inner.clone();
-                tokio::spawn(async move {
-                    let answer = |request| {
-                        let inner = inner.clone();
-                        async move { respond(inner, request).await }
-                    };
-                    serve(stream, answer).await;
-                });
-            }
-        });
+        stage.host(listener, move |request| respond(inner.clone(), request));
         Platform { address, state, _stage: stage }
     }
 
--- a/crates/stand-ins/src/stage.rs
+++ b/crates/stand-ins/src/stage.rs
@@ -50,6 +50,26 @@
         self.handle.spawn(work);
     }
 
+    /// Serves each connection that comes there, for as long as the stage stands.
+    pub(crate) fn host<B, F>(
+        &self,
+        listener: TcpListener,
+        answer: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    ) where
+        B: Body + Send + 'static,
+        B::Data: Send,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+        F: Future<Output = Option<Response<B>>> + Send + 'static,
+    {
+        self.spawn(async move {
+            loop {
+                let stream = accept(&listener).await;
+                let answer = answer.clone();
+                tokio::spawn(async move { serve(stream, answer).await });
+            }
+        });
+    }
+
     /// Listens there, at a port that is free.
     pub fn listen(&self, address: IpAddr) -> TcpListener {
         self.listen_at(SocketAddr::new(address, 0))
