--- /dev/null
+++ b/crates/duties/src/lib.rs
@@ -0,0 +1,15 @@
+//! Periodic duties shared among forwarders, one owner each, over the sessions and locks of a store such as Consul's.
+//!
+//! No I/O and no clock here: [`placement`] says who should have which duty, [`lease`] who has it and until when, and
+//! [`fence`] which of two owners' results counts. `docs/duties.md` has the protocol and what it rests on.
+
+pub mod fence;
+pub mod lease;
+pub mod placement;
+
+/// A duty, by its place in the settings' list.
+pub type Duty = u32;
+
+/// Where a lock stands in the order of all writes to the store. A later owner's is higher: it is the store's own index
+/// at the write that took the lock, which nothing takes back, the removal of the key included.
+pub type Token = u64;
