--- a/crates/config/src/apart.rs
+++ b/crates/config/src/apart.rs
@@ -20,7 +20,7 @@
 
 #[derive(Serialize, Deserialize)]
 enum Said {
-    Good(Installation),
+    Good(Box<Installation>),
     Bad(Fault),
 }
 
@@ -29,7 +29,7 @@
     Resource::AS.set(MEMORY, MEMORY)?;
     Resource::CPU.set(PROCESSOR, PROCESSOR)?;
     Resource::CORE.set(0, 0)?;
-    let said = read(path).map_or_else(Said::Bad, Said::Good);
+    let said = read(path).map_or_else(Said::Bad, |good| Said::Good(Box::new(good)));
     serde_json::to_writer(std::io::stdout(), &said)?;
     Ok(())
 }
@@ -50,7 +50,7 @@
     let ended = wait(&mut child);
     let said = reader.and_then(|reader| reader.join().ok()).unwrap_or_default();
     match serde_json::from_slice(&said) {
-        Ok(Said::Good(installation)) => Ok(installation),
+        Ok(Said::Good(installation)) => Ok(*installation),
         Ok(Said::Bad(fault)) => Err(fault),
         Err(_) => Err(fault(format!(
             "the script was ended ({}): it may use {} MiB of memory, {PROCESSOR} s of processor time and {} s in all",
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -133,11 +133,12 @@
         let mut effects = Vec::new();
         // Whatever has come: a lease that is over is over before it is read. A late wake-up finds it so.
         self.expire(terms, now, &mut effects);
+        self.again.retain(|_, at| *at > now);
         match input {
             Input::Tick => {}
             Input::Placed(duties) => self.placed = duties,
             Input::Created(id, asked) => {
-                (self.asking, self.ask_at) = (false, now);
+                (self.asking, self.ask_at) = (false, asked);
                 self.session = Some(Held { id, renewed: asked, holds: BTreeMap::new() });
                 // It may have been a long time coming.
                 self.expire(terms, now, &mut effects);
@@ -195,11 +196,11 @@
     }
 
     /// When the next tick is due at the latest.
-    pub fn wake_at(&self, terms: &Terms, now: Micros) -> Micros {
+    pub fn wake_at(&self, terms: &Terms) -> Micros {
         let over = self.session.as_ref().map(|held| held.renewed + terms.lease());
         let ask = (!self.asking).then(|| self.next_ask(terms));
         let wanted = self.placed.iter().filter(|duty| self.open.contains(duty));
-        let again = wanted.filter_map(|duty| self.again.get(duty)).copied().filter(|at| *at > now).min();
+        let again = wanted.filter_map(|duty| self.again.get(duty)).copied().min();
         [over, ask, again].into_iter().flatten().min().unwrap_or(Micros::MAX)
     }
 
@@ -279,7 +280,7 @@
         let mut out = held.holds.values().filter(|hold| **hold == Hold::Asking).count();
         for duty in self.placed.iter().filter(|duty| self.open.contains(duty)) {
             let free = matches!(held.holds.get(duty), None | Some(Hold::Released(_)));
-            if free && out < terms.asks && self.again.get(duty).is_none_or(|at| *at <= now) {
+            if free && out < terms.asks && !self.again.contains_key(duty) {
                 held.holds.insert(*duty, Hold::Asking);
                 effects.push(Effect::Acquire(*duty, held.id.clone()));
                 out += 1;
