Give the stand-in Consul sessions, keys with locks, and writes that are lost or slow

Change: consul/kv.rs (no I/O): session create, renew, destroy, info; keys with cas, acquire, release; TTL that ends after one to two times its length, lock-delay, indexes that outlast a removal. Blocking reads wake when a session ends. Faults LostWrites and SlowWrites. Measured: five tests; an ended session wakes who waits at its end and its lock stays closed for the delay; a write whose answer is lost is there; a LockIndex starts anew after a removal, a ModifyIndex does not, which the fence rests on.

--- a/crates/stand-ins/src/consul.rs
+++ b/crates/stand-ins/src/consul.rs
@@ -3,6 +3,8 @@
 //! Written from <https://developer.hashicorp.com/consul/api-docs/health>, `…/api-docs/catalog` and
 //! `…/api-docs/features/blocking`. It has one datacentre and no namespaces, applies no filters, and registers at once.
 
+mod kv;
+
 use crate::certificates::Pair;
 use crate::stage::{self, Never, Stage, loopback, serve};
 use bytes::Bytes;
@@ -10,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
 use serde_json::{Value, json};
@@ -87,6 +89,10 @@
     },
     /// A server that has not heard from its leader for so long: it knows of no instances, and says how old that is.
     Behind(Duration),
+    /// Writes of sessions and keys take effect, and their answers are lost.
+    LostWrites,
+    /// Writes of sessions and keys take this long.
+    SlowWrites(Duration),
     /// Half an answer, and then the end.
     CutShort,
     /// An answer that goes on for ever.
@@ -113,6 +119,7 @@
     questions: u64,
     open: usize,
     most_open: usize,
+    store: kv::Store,
 }
 
 type Answer = Response<BoxBody<Bytes, Never>>;
@@ -256,6 +263,11 @@
         self.check(node, id, &format!("_service_maintenance:{id}"), on.then_some("critical"))
     }
 
+    /// Sessions that are not renewed end after so many times their TTL: 1 to 2, as Consul has it.
+    pub fn sessions_end_after(&self, ttls: f64) {
+        self.inner.world().store.ends_after = ttls.clamp(1.0, 2.0);
+    }
+
     /// Marks an instance with a tag, or takes the mark away.
     pub fn tag(&self, node: &str, id: &str, tag: &str, on: bool) -> u64 {
         let found = self.inner.world().instances.get(&(node.to_owned(), id.to_owned())).cloned();
@@ -373,7 +385,9 @@
 
     async fn respond(&self, request: Request<Incoming>) -> Option<Answer> {
         self.world().questions += 1;
-        let (path, query) = (request.uri().path().to_owned(), request.uri().query().unwrap_or("").to_owned());
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let (path, query) = (parts.uri.path().to_owned(), parts.uri.query().unwrap_or("").to_owned());
         let field = |name: &str| {
             let pairs = query.split('&').map(|pair| pair.split_once('=').unwrap_or((pair, "")));
             pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
@@ -386,7 +400,7 @@
         loop {
             let fault = self.world().fault.clone();
             match fault {
-                Fault::None | Fault::Index(_) => {}
+                Fault::None | Fault::Index(_) | Fault::LostWrites | Fault::SlowWrites(_) => {}
                 Fault::Silent => {
                     drop(changed.changed().await);
                     continue;
@@ -410,13 +424,25 @@
                 }
             }
             if self.world().token.as_deref().is_some_and(|token| {
-                request
-                    .headers()
-                    .get("X-Consul-Token")
-                    .is_none_or(|given| given.as_bytes() != token.as_bytes())
+                parts.headers.get("X-Consul-Token").is_none_or(|given| given.as_bytes() != token.as_bytes())
             }) {
                 return Some(plain(403, "Permission denied", None));
             }
+            if path.starts_with("/v1/session/") || path.starts_with("/v1/kv/") {
+                if parts.method != Method::GET {
+                    let answer = self.write(&parts.method, &path, &field, &body, &fault).await;
+                    return Some(answer).filter(|_| fault != Fault::LostWrites);
+                }
+                let (answer, at, next) = self.read(&path, field("recurse").is_some());
+                if at != index || Instant::now() >= ends {
+                    return Some(answer);
+                }
+                tokio::select! {
+                    _ = changed.changed() => {}
+                    () = tokio::time::sleep_until(next.map_or(ends, |next| next.min(ends)).into()) => {}
+                }
+                continue;
+            }
             let Some((body, now)) = self.world().answer(&path) else {
                 return Some(plain(404, "Invalid path", None));
             };
@@ -440,6 +466,81 @@
         }
     }
 
+    /// Ends what is over; gives when something is next.
+    fn expire(&self) -> Option<Instant> {
+        let mut world = self.world();
+        let before = world.store.index;
+        let next = world.store.expire(Instant::now());
+        if world.store.index != before {
+            self.changed.send_replace(world.store.index);
+        }
+        next
+    }
+
+    /// An answer to a read of a session or of keys, its index, and when a session ends next.
+    fn read(&self, path: &str, recurse: bool) -> (Answer, u64, Option<Instant>) {
+        let next = self.expire();
+        let world = self.world();
+        let found = match (path.strip_prefix("/v1/kv/"), path.strip_prefix("/v1/session/info/")) {
+            (Some(key), _) => world.store.read(key, recurse),
+            (_, Some(id)) => Some(world.store.info(id)),
+            _ => None,
+        };
+        let at = world.store.index;
+        let missing = found.is_none();
+        let body = found.map(|found| found.to_string().into_bytes()).unwrap_or_default();
+        let mut answer = told(body, Some(at.to_string()), true);
+        if missing {
+            *answer.status_mut() = StatusCode::NOT_FOUND;
+        }
+        (answer, at, next)
+    }
+
+    async fn write(
+        &self,
+        method: &Method,
+        path: &str,
+        field: &impl Fn(&str) -> Option<String>,
+        body: &Bytes,
+        fault: &Fault,
+    ) -> Answer {
+        if let Fault::SlowWrites(span) = fault {
+            tokio::time::sleep(*span).await;
+        }
+        self.expire();
+        let now = Instant::now();
+        let mut world = self.world();
+        let store = &mut world.store;
+        let json = || serde_json::from_slice(body).unwrap_or(Value::Null);
+        let done = if path == "/v1/session/create" {
+            store.create(now, &json()).map(|id| json!({"ID": id})).map_err(|why| (400, why))
+        } else if let Some(id) = path.strip_prefix("/v1/session/renew/") {
+            match store.renew(now, id) {
+                true => Ok(store.info(id)),
+                false => Err((404, format!("Session id '{id}' not found"))),
+            }
+        } else if let Some(id) = path.strip_prefix("/v1/session/destroy/") {
+            store.destroy(now, id);
+            Ok(json!(true))
+        } else if let Some(key) = path.strip_prefix("/v1/kv/").filter(|_| method == Method::DELETE) {
+            store.delete(key, field("recurse").is_some());
+            Ok(json!(true))
+        } else if let Some(key) = path.strip_prefix("/v1/kv/").filter(|_| method == Method::PUT) {
+            let cas = field("cas").and_then(|index| index.parse().ok()).map(kv::Write::Cas);
+            let acquire = field("acquire").map(kv::Write::Acquire);
+            let how =
+                cas.or(acquire).or(field("release").map(kv::Write::Release)).unwrap_or(kv::Write::Plain);
+            store.put(now, key, body.to_vec(), &how).map(|done| json!(done)).map_err(|why| (500, why))
+        } else {
+            Err((405, "method not allowed".to_owned()))
+        };
+        self.changed.send_replace(world.store.index);
+        match done {
+            Ok(body) => told(body.to_string().into_bytes(), None, true),
+            Err((status, why)) => plain(status, &why, None),
+        }
+    }
+
     fn leaderless(&self, path: &str, whole: bool) -> Answer {
         let (body, index) = self.world().answer(path).unwrap_or((json!([]), 1));
         let body = if whole { body } else { json!([]) };
