Add sessions and locks to the Consul client, with errors that tell unsent from unsure

Change: locks.rs: create, renew, destroy, acquire, release and a blocking look, read from the leader even where the catalogue may be stale. No write is sent twice; LockError::Unsent, Unsure and Refused say how far it came.

--- a/crates/consul/src/client.rs
+++ b/crates/consul/src/client.rs
@@ -4,10 +4,10 @@
 use crate::settings::{Consistency, Settings};
 use crate::tls::Stamp;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
-use hyper::{Request, body::Incoming};
+use hyper::{Method, Request, body::Incoming};
 use hyper_util::rt::TokioIo;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use std::cell::Cell;
@@ -76,7 +76,7 @@
 
 /// A connection to Consul. Dropping it closes it.
 pub struct Connection {
-    sender: SendRequest<Empty<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     address: SocketAddr,
     stamp: Option<Stamp>,
@@ -88,6 +88,11 @@
     }
 }
 
+/// A key as it stands in a path: its slashes part it.
+pub(crate) fn path(key: &str) -> String {
+    key.split('/').map(text).collect::<Vec<_>>().join("/")
+}
+
 fn text(part: &str) -> String {
     utf8_percent_encode(part, PLAIN).to_string()
 }
@@ -103,17 +108,40 @@
     pub index: u64,
     /// How long Consul may hold the question.
     pub wait: Duration,
+    /// More of the query: names with values, and names alone.
+    pub more: Vec<(&'static str, Option<String>)>,
+    /// Only the leader may answer, whatever the settings allow: locks are not read from a server that is behind.
+    pub leader: bool,
+    /// A write with this body; without one a read.
+    pub write: Option<Bytes>,
 }
 
 impl Question {
     /// The instances of a service, with their checks.
     pub fn service(name: &str, filter: Option<&String>, index: u64, wait: Duration) -> Self {
-        Question { path: format!("/v1/health/service/{}", text(name)), filter: filter.cloned(), index, wait }
+        Question {
+            path: format!("/v1/health/service/{}", text(name)),
+            filter: filter.cloned(),
+            index,
+            wait,
+            ..Question::default()
+        }
     }
 
     /// A fixed path that takes an index.
     pub fn path(path: &str, index: u64, wait: Duration) -> Self {
-        Question { path: path.to_owned(), filter: None, index, wait }
+        Question { path: path.to_owned(), index, wait, ..Question::default() }
+    }
+
+    /// The keys below a path, from the leader.
+    pub fn keys(below: &str, index: u64, wait: Duration) -> Self {
+        let path = format!("/v1/kv/{}", path(below));
+        Question { path, index, wait, more: vec![("recurse", None)], leader: true, ..Question::default() }
+    }
+
+    /// A write of a session or a key.
+    pub fn write(path: String, more: Vec<(&'static str, Option<String>)>, body: Bytes) -> Self {
+        Question { path, more, leader: true, write: Some(body), ..Question::default() }
     }
 
     fn holds(&self) -> bool {
@@ -129,6 +157,7 @@
         }
         match settings.consistency {
             Consistency::Default => {}
+            Consistency::Stale | Consistency::Consistent if self.leader => {}
             Consistency::Stale => query.push("stale".to_owned()),
             Consistency::Consistent => query.push("consistent".to_owned()),
         }
@@ -137,6 +166,9 @@
         {
             query.extend(value.iter().map(|value| format!("{name}={}", text(value))));
         }
+        for (name, value) in &self.more {
+            query.push(value.as_ref().map_or((*name).to_owned(), |value| format!("{name}={}", text(value))));
+        }
         if query.is_empty() { self.path.clone() } else { format!("{}?{}", self.path, query.join("&")) }
     }
 
@@ -225,8 +257,11 @@
         question: &Question,
     ) -> Result<(Head, Bytes), ClientError> {
         let broken = |error: hyper::Error| ClientError::Broken(error.to_string());
-        let mut request =
-            Request::get(question.uri(&self.settings)).header(HOST, connection.address.to_string());
+        let method = if question.write.is_some() { Method::PUT } else { Method::GET };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(question.uri(&self.settings))
+            .header(HOST, connection.address.to_string());
         if let Some(path) = &self.settings.token_file {
             let token = std::fs::read_to_string(path);
             let token = token.map_err(|error| ClientError::Token(format!("{}: {error}", path.display())))?;
@@ -235,7 +270,9 @@
             token.set_sensitive(true);
             request = request.header(TOKEN, token);
         }
-        let request = request.body(Empty::new()).map_err(|error| ClientError::Broken(error.to_string()))?;
+        let request = request
+            .body(Full::new(question.write.clone().unwrap_or_default()))
+            .map_err(|error| ClientError::Broken(error.to_string()))?;
         let patience = question.patience();
         within(patience, ClientError::Silent(patience), async {
             connection.sender.ready().await.map_err(broken)
--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -3,7 +3,7 @@
 //! What to ask, when to ask again and what an answer means is settled in modules that open no connection and read no
 //! clock: [`query`] (one blocking query and its index), [`rota`] (many services over few connections), [`standing`]
 //! (what the checks of an instance come to) and [`picture`] (all services, and the changes from one answer to the
-//! next). [`client`] and [`tls`] are the sockets, and [`source`] puts both together as a
+//! next). [`locks`] has sessions and locks for whoever shares work over them. [`client`] and [`tls`] are the sockets, and [`source`] puts both together as a
 //! [`Catalogue`](orchidyoke_node::source::Catalogue).
 //!
 //! The HTTP API is the published one: <https://developer.hashicorp.com/consul/api-docs/health> and
@@ -11,6 +11,7 @@
 
 pub mod api;
 pub mod client;
+pub mod locks;
 pub mod picture;
 pub mod query;
 pub mod rota;
--- /dev/null
+++ b/crates/consul/src/locks.rs
@@ -0,0 +1,173 @@
+//! Sessions and locks: the writes that duties shared among forwarders rest on, and the look at who holds what.
+//!
+//! After <https://developer.hashicorp.com/consul/api-docs/session> and <https://developer.hashicorp.com/consul/api-docs/kv>.
+//! A write without an answer may have taken effect, or may do so later: [`LockError::Unsure`] says so, and no write is sent
+//! a second time here.
+
+use crate::client::{Client, ClientError, Connection, Question, path};
+use crate::query::{Head, Refusal};
+use crate::settings::Settings;
+use bytes::Bytes;
+use orchidyoke_node::log;
+use serde::Deserialize;
+use serde_json::json;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why a write or a look has come to nothing.
+#[derive(Debug, Error)]
+pub enum LockError {
+    /// There was no connection: nothing was sent.
+    #[error("not sent: {0}")]
+    Unsent(ClientError),
+    /// It was sent and not answered: it may have taken effect, or may do so later.
+    #[error("without an answer: {0}")]
+    Unsure(ClientError),
+    /// Consul has refused it.
+    #[error("{0}")]
+    Refused(Refusal),
+}
+
+/// A key as a look finds it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "PascalCase")]
+pub struct Row {
+    /// Its whole name.
+    pub key: String,
+    /// The session that holds its lock.
+    pub session: Option<String>,
+    /// The index of the write that last changed it.
+    pub modify_index: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Made {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
+/// One connection for sessions and locks, one question at a time.
+pub struct Locks {
+    client: Client,
+    connection: Option<Connection>,
+}
+
+impl Locks {
+    /// For the Consul of these settings. Nothing is opened yet.
+    pub fn new(settings: Rc<Settings>) -> Self {
+        Locks { client: Client::new(settings), connection: None }
+    }
+
+    async fn ask(&mut self, question: &Question) -> Result<(Head, Bytes), LockError> {
+        let at_hand = self.connection.take().filter(|connection| self.client.is_good(connection));
+        let mut connection = match at_hand {
+            Some(connection) => connection,
+            None => self.client.connect().await.map_err(LockError::Unsent)?,
+        };
+        let answer = self.client.ask(&mut connection, question).await.map_err(LockError::Unsure)?;
+        self.connection = Some(connection);
+        Ok(answer)
+    }
+
+    async fn write(
+        &mut self,
+        path: String,
+        more: Vec<(&'static str, Option<String>)>,
+        body: Bytes,
+    ) -> Result<(Head, Bytes), LockError> {
+        self.ask(&Question::write(path, more, body)).await
+    }
+
+    /// Makes a session that ends when it is not renewed within `ttl`; locks that it held then stay closed for
+    /// `lock_delay`. Gives its id.
+    pub async fn create(
+        &mut self,
+        name: &str,
+        ttl: Duration,
+        lock_delay: Duration,
+    ) -> Result<String, LockError> {
+        let millis = |span: Duration| format!("{}ms", span.as_millis());
+        let body =
+            json!({"Name": name, "TTL": millis(ttl), "LockDelay": millis(lock_delay), "Behavior": "release"});
+        let body = Bytes::from(body.to_string());
+        let (head, body) = self.write("/v1/session/create".to_owned(), Vec::new(), body).await?;
+        head.refusal().map_or(Ok(()), Err)?;
+        let made: Made = read(&body)?;
+        Ok(made.id)
+    }
+
+    /// Renews a session; whether there still is one.
+    pub async fn renew(&mut self, session: &str) -> Result<bool, LockError> {
+        let (head, _) =
+            self.write(format!("/v1/session/renew/{}", path(session)), Vec::new(), Bytes::new()).await?;
+        match head.refusal() {
+            None => Ok(true),
+            Some(Refusal::Status(404)) => Ok(false),
+            Some(refusal) => Err(refusal.into()),
+        }
+    }
+
+    /// Ends a session, if there still is one. What goes wrong is said in the log: it ends by itself, too.
+    pub async fn destroy(&mut self, session: &str) {
+        let asked =
+            self.write(format!("/v1/session/destroy/{}", path(session)), Vec::new(), Bytes::new()).await;
+        let failed = asked.map(|(head, _)| head.refusal().map(LockError::Refused));
+        if let Ok(Some(error)) | Err(error) = failed {
+            log!("Consul: a session was not ended, and will end by itself: {error}");
+        }
+    }
+
+    /// Takes a key's lock for a session; whether it has it now.
+    pub async fn acquire(&mut self, key: &str, session: &str, value: Bytes) -> Result<bool, LockError> {
+        self.lock(key, "acquire", session, value).await
+    }
+
+    /// Gives a key's lock back; whether the session had it.
+    pub async fn release(&mut self, key: &str, session: &str) -> Result<bool, LockError> {
+        self.lock(key, "release", session, Bytes::new()).await
+    }
+
+    async fn lock(
+        &mut self,
+        key: &str,
+        what: &'static str,
+        session: &str,
+        value: Bytes,
+    ) -> Result<bool, LockError> {
+        let more = vec![(what, Some(session.to_owned()))];
+        let (head, body) = self.write(format!("/v1/kv/{}", path(key)), more, value).await?;
+        head.refusal().map_or(Ok(()), Err)?;
+        Ok(read(&body)?)
+    }
+
+    /// Who holds the keys below `prefix`, as the leader has it, and the index of that; with the index of the last look
+    /// it waits until there is news, for `wait` at most.
+    pub async fn look(
+        &mut self,
+        prefix: &str,
+        index: u64,
+        wait: Duration,
+    ) -> Result<(u64, Vec<Row>), LockError> {
+        let (head, body) = self.ask(&Question::keys(prefix, index, wait)).await?;
+        let index = head.index.as_deref().and_then(|text| text.trim().parse().ok()).unwrap_or(0);
+        match head.refusal() {
+            None => Ok((index, read(&body)?)),
+            // There is no key, and a leader that says so.
+            Some(Refusal::Status(404)) if index > 0 && !head.leaderless => Ok((index, Vec::new())),
+            Some(refusal) => Err(refusal.into()),
+        }
+    }
+}
+
+impl From<Refusal> for LockError {
+    fn from(refusal: Refusal) -> Self {
+        LockError::Refused(refusal)
+    }
+}
+
+fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body)
+        .map_err(|error| Refusal::Broken(format!("its answer is not of the form: {error}")))
+}
--- /dev/null
+++ b/crates/consul/tests/locks.rs
@@ -0,0 +1,93 @@
+//! Sessions and locks against the stand-in Consul, and what is said where an answer is lost.
+
+use bytes::Bytes;
+use orchidyoke_consul::Settings;
+use orchidyoke_consul::locks::{LockError, Locks};
+use orchidyoke_consul::query::Refusal;
+use orchidyoke_consul::settings::Consistency;
+use orchidyoke_stand_ins::Consul;
+use orchidyoke_stand_ins::consul::Fault;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+
+const TTL: Duration = Duration::from_secs(60);
+const DELAY: Duration = Duration::from_millis(300);
+
+fn locks(consul: &Consul) -> Locks {
+    // Stale answers are allowed for the catalogue; a look at locks is not one of them.
+    let consistency = Consistency::Stale;
+    Locks::new(Rc::new(Settings { addresses: vec![consul.address()], consistency, ..Settings::default() }))
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let patience = Duration::from_secs(60);
+    runtime.block_on(LocalSet::new().run_until(async { timeout(patience, test).await.expect("in time") }));
+}
+
+#[test]
+fn a_lock_goes_from_one_session_to_the_next() {
+    run(async {
+        let consul = Consul::start();
+        let (mut a, mut b) = (locks(&consul), locks(&consul));
+        assert_eq!(a.look("duties/", 0, TTL).await.expect("looked").1, Vec::new(), "no keys yet");
+        let first = a.create("f1", TTL, DELAY).await.expect("made");
+        let second = b.create("f2", TTL, DELAY).await.expect("made");
+        assert!(a.acquire("duties/a b", &first, Bytes::from_static(b"f1")).await.expect("asked"));
+        assert!(!b.acquire("duties/a b", &second, Bytes::new()).await.expect("asked"));
+        let (index, rows) = b.look("duties/", 0, TTL).await.expect("looked");
+        assert_eq!((rows.len(), rows[0].session.as_deref()), (1, Some(first.as_str())));
+        let token = rows[0].modify_index;
+        let (looked, released) = tokio::join!(b.look("duties/", index, TTL), async {
+            sleep(Duration::from_millis(50)).await;
+            a.release("duties/a b", &first).await
+        });
+        assert!(released.expect("asked") && looked.expect("looked").1[0].session.is_none());
+        assert!(
+            b.acquire("duties/a b", &second, Bytes::new()).await.expect("asked"),
+            "given back: free at once"
+        );
+        let (_, rows) = a.look("duties/", 0, TTL).await.expect("looked");
+        assert!(rows[0].modify_index > token, "a later owner has a higher token");
+        assert!(a.renew(&first).await.expect("asked"));
+        b.destroy(&second).await;
+        assert!(!b.renew(&second).await.expect("asked"));
+        assert!(!a.acquire("duties/a b", &first, Bytes::new()).await.expect("asked"), "the lock-delay");
+    });
+}
+
+// Guards against a write without an answer that is taken for one that has failed, or is sent again.
+#[test]
+fn an_error_says_whether_a_write_may_have_taken_effect() {
+    run(async {
+        let consul = Consul::start();
+        let mut locks = locks(&consul);
+        let session = locks.create("f1", TTL, DELAY).await.expect("made");
+        consul.fault(Fault::LostWrites);
+        let asked = consul.questions();
+        let lost = locks.acquire("duties/1", &session, Bytes::new()).await;
+        assert!(matches!(lost, Err(LockError::Unsure(_))), "{lost:?}");
+        assert_eq!(consul.questions() - asked, 1, "sent once");
+        let (_, rows) = locks.look("duties/", 0, TTL).await.expect("looked");
+        assert_eq!(rows[0].session.as_deref(), Some(session.as_str()), "and it took effect");
+        consul.fault(Fault::NoLeader { whole: true });
+        let refused = locks.look("duties/", 0, TTL).await;
+        assert!(matches!(refused, Err(LockError::Refused(Refusal::NoLeader))), "{refused:?}");
+        consul.fault(Fault::Gone);
+        // The stand-in takes a moment to stop listening, and to listen again.
+        while !matches!(locks.renew(&session).await, Err(LockError::Unsent(_))) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        consul.fault(Fault::None);
+        let renewed = loop {
+            match locks.renew(&session).await {
+                Err(LockError::Unsent(_)) => sleep(Duration::from_millis(5)).await,
+                renewed => break renewed,
+            }
+        };
+        assert!(renewed.expect("answered"), "a session outlasts its connections");
+    });
+}
