--- a/crates/consul/src/locks.rs
+++ b/crates/consul/src/locks.rs
@@ -7,6 +7,8 @@
 use crate::client::{Client, ClientError, Connection, Question, path};
 use crate::query::{Head, Refusal};
 use crate::settings::Settings;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use orchidyoke_node::log;
 use serde::Deserialize;
@@ -35,14 +37,24 @@
 pub struct Row {
     /// Its whole name.
     pub key: String,
+    /// Its value in base 64 (RFC 4648, section 4), as Consul writes it; none where it is empty.
+    #[serde(default)]
+    pub value: Option<String>,
     /// The session that holds its lock.
     pub session: Option<String>,
     /// The index of the write that last changed it.
     pub modify_index: u64,
 }
 
+impl Row {
+    /// The value as text; what is none is left out.
+    pub fn text(&self) -> String {
+        let bytes = self.value.as_ref().and_then(|value| STANDARD.decode(value).ok()).unwrap_or_default();
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+}
+
 #[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
 struct Made {
     #[serde(rename = "ID")]
     id: String,
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -1,9 +1,10 @@
 //! Periodic duties shared among forwarders, one owner each, over the sessions and locks of a store such as Consul's.
 //!
-//! No I/O and no clock here: [`placement`] says who should have which duty, [`lease`] who has it and until when, and
-//! [`fence`] which of two owners' results counts. `docs/duties.md` has the protocol and what it rests on.
+//! Three modules have no I/O and no clock: [`placement`] says who should have which duty, [`lease`] who has it and until when, and
+//! [`fence`] which of two owners' results counts. [`keeper`] carries that out on Consul. `docs/duties.md` has the protocol and what it rests on.
 
 pub mod fence;
+pub mod keeper;
 pub mod lease;
 pub mod placement;
 
