Give all duties back when a member leaves in good order

Change: Input::Leave in the leases: release what is held, take nothing on, then end the session; Keeper::leave, after which run ends by itself. The member's name is given back before its session is ended.

--- a/crates/duties/src/keeper.rs
+++ b/crates/duties/src/keeper.rs
@@ -15,6 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -47,13 +48,14 @@
     settings: Rc<Settings>,
     start: Instant,
     state: RefCell<State>,
+    leaving: Notify,
 }
 
 impl Keeper {
     /// For the Consul of these settings. Nothing is opened yet.
     pub fn new(member: Member, settings: Rc<Settings>) -> Self {
         let state = RefCell::new(State { leases: Leases::default(), unknown: None });
-        Keeper { member, settings, start: Instant::now(), state }
+        Keeper { member, settings, start: Instant::now(), state, leaving: Notify::new() }
     }
 
     fn now(&self) -> Micros {
@@ -70,14 +72,24 @@
         self.state.borrow().leases.held().collect()
     }
 
-    /// Keeps them. Dropped, it stops without a word, as a process does that is killed.
+    /// Gives all back; [`Keeper::run`] ends when that is done. A store that does not answer can make it long: whoever
+    /// stops waits no longer than it has.
+    pub fn leave(&self) {
+        self.leaving.notify_one();
+    }
+
+    /// Keeps them until it has left. Dropped, it stops without a word, as a process does that is killed.
     pub async fn run(&self) {
         let (inputs, heard) = unbounded_channel();
         let (effects, asked) = unbounded_channel();
-        tokio::join!(self.step(heard, &effects), self.write(asked, &inputs), self.watch(&inputs));
+        let kept = async { tokio::join!(self.step(heard, effects), self.write(asked, &inputs)) };
+        tokio::select! {
+            _ = kept => {}
+            () = self.watch(&inputs) => {}
+        }
     }
 
-    async fn step(&self, mut heard: UnboundedReceiver<Input>, effects: &UnboundedSender<(Effect, Micros)>) {
+    async fn step(&self, mut heard: UnboundedReceiver<Input>, effects: UnboundedSender<(Effect, Micros)>) {
         let mut input = Some(Input::Tick);
         loop {
             let now = self.now();
@@ -93,9 +105,14 @@
                     effect => drop(effects.send((effect, now))),
                 }
             }
+            if self.state.borrow().leases.has_left() {
+                // What is asked for is still carried out, and then the writing ends too.
+                return;
+            }
             let wake = self.start + Duration::from_micros(wake.clamp(now + 1000, now + 3_600_000_000) as u64);
             tokio::select! {
                 next = heard.recv() => input = next,
+                () = self.leaving.notified() => input = Some(Input::Leave),
                 () = sleep_until(wake) => {}
             }
         }
@@ -126,6 +143,9 @@
                         false => Some(Input::Gone(id)),
                     },
                     Effect::Destroy(id) => {
+                        // Its name is free for whoever comes back under it without a lock-delay.
+                        let name = format!("{}/members/{}", member.prefix, member.name);
+                        drop(locks.release(&name, &id).await);
                         locks.destroy(&id).await;
                         None
                     }
@@ -159,6 +179,9 @@
     /// Puts a new session under this member's name, so that the others count with it.
     async fn make_known(&self, locks: &mut Locks) {
         let Some(session) = self.state.borrow().unknown.clone() else { return };
+        if self.state.borrow().leases.has_left() {
+            return;
+        }
         let key = format!("{}/members/{}", self.member.prefix, self.member.name);
         let value = Bytes::from(self.member.weight.to_string());
         // The name may be closed for the lock-delay of the session before: it is tried again with the next write.
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -54,6 +54,8 @@
     Tick,
     /// Placement gives this forwarder these duties.
     Placed(BTreeSet<Duty>),
+    /// The forwarder stops: all is given back, and nothing taken on.
+    Leave,
     /// A session was made; it was asked for then.
     Created(Session, Micros),
     /// A session was renewed; that was asked for then.
@@ -120,6 +122,7 @@
     asking: bool,
     ask_at: Micros,
     placed: BTreeSet<Duty>,
+    leaving: bool,
     /// Locks that nobody held at the last look, and when each may be asked for again.
     open: BTreeSet<Duty>,
     again: BTreeMap<Duty, Micros>,
@@ -136,7 +139,9 @@
         self.again.retain(|_, at| *at > now);
         match input {
             Input::Tick => {}
+            Input::Placed(_) if self.leaving => {}
             Input::Placed(duties) => self.placed = duties,
+            Input::Leave => (self.leaving, self.placed) = (true, BTreeSet::new()),
             Input::Created(id, asked) => {
                 (self.asking, self.ask_at) = (false, asked);
                 self.session = Some(Held { id, renewed: asked, holds: BTreeMap::new() });
@@ -169,6 +174,7 @@
         }
         self.keep_session(terms, now, &mut effects);
         self.keep_locks(terms, now, &mut effects);
+        self.leave(&mut effects);
         effects
     }
 
@@ -195,6 +201,11 @@
         self.session.as_ref().map(|held| held.id.as_str())
     }
 
+    /// Whether all has been given back, after [`Input::Leave`].
+    pub fn has_left(&self) -> bool {
+        self.leaving && self.session.is_none()
+    }
+
     /// When the next tick is due at the latest.
     pub fn wake_at(&self, terms: &Terms) -> Micros {
         let over = self.session.as_ref().map(|held| held.renewed + terms.lease());
@@ -254,7 +265,7 @@
     }
 
     fn keep_session(&mut self, terms: &Terms, now: Micros, effects: &mut Vec<Effect>) {
-        if self.asking || now < self.next_ask(terms) {
+        if self.asking || self.leaving || now < self.next_ask(terms) {
             return;
         }
         self.asking = true;
@@ -264,6 +275,17 @@
         });
     }
 
+    /// Ends the session once nothing is left that could be given back without it. Who takes a duty then need not wait
+    /// for the lock-delay, but for one whose giving back had no answer.
+    fn leave(&mut self, effects: &mut Vec<Effect>) {
+        let busy = |hold: &Hold| matches!(hold, Hold::Asking | Hold::Held(_) | Hold::Releasing);
+        if self.leaving
+            && let Some(held) = self.session.take_if(|held| !held.holds.values().any(busy))
+        {
+            effects.push(Effect::Destroy(held.id));
+        }
+    }
+
     fn keep_locks(&mut self, terms: &Terms, now: Micros, effects: &mut Vec<Effect>) {
         let Some(held) = &mut self.session else { return };
         // Held and not placed here: given back, so that whoever is to have it need not wait for the lock-delay.
@@ -405,6 +427,31 @@
         }
     }
 
+    // Guards against duties that stay closed for a lock-delay, or a TTL, because a forwarder was stopped in good order.
+    #[test]
+    fn who_leaves_gives_all_back_first_and_takes_nothing_on() {
+        for answered in [true, false] {
+            let mut leases = owner();
+            assert_eq!(leases.step(&terms(), 2 * S, Input::Leave), [Effect::Release(1, "s".to_owned())]);
+            assert_eq!((leases.may_act(&terms(), 2 * S, 1), leases.has_left()), (None, false));
+            assert_eq!(
+                leases.step(&terms(), 5 * S, Input::Placed(BTreeSet::from([1]))),
+                [],
+                "no renewal either"
+            );
+            let end =
+                leases.step(&terms(), 5 * S, if answered { Input::Released(1) } else { Input::Unsure(1) });
+            assert_eq!(end, [Effect::Destroy("s".to_owned())]);
+            assert!(leases.has_left());
+            assert_eq!(leases.step(&terms(), 60 * S, Input::Seen(locks(&[(1, None, 9)]), 60 * S)), []);
+        }
+        let mut young = Leases::default();
+        young.step(&terms(), 0, Input::Leave);
+        assert!(young.has_left());
+        let late = young.step(&terms(), S, Input::Created("s".to_owned(), 0));
+        assert!(late.contains(&Effect::Destroy("s".to_owned())), "a session that was under way is ended");
+    }
+
     // Guards against a store that is away being asked without a pause, and against all locks being asked for at once.
     #[test]
     fn questions_are_bounded() {
--- a/crates/duties/tests/keeper.rs
+++ b/crates/duties/tests/keeper.rs
@@ -94,6 +94,24 @@
     });
 }
 
+// Guards against a rolling deployment in which each stop leaves duties orphaned for a TTL and a lock-delay.
+#[test]
+fn who_leaves_in_good_order_hands_over_at_once_and_may_come_back() {
+    run(async {
+        let consul = Consul::start();
+        let (a, b) = (start(&consul, "a"), start(&consul, "b"));
+        settle(&[&a, &b], 6).await;
+        b.keeper.leave();
+        let left = Instant::now();
+        settle(&[&a], 12).await;
+        assert!(left.elapsed() < TTL, "{:?}: a killed one takes more than a TTL", left.elapsed());
+        b.task.await.expect("it has ended by itself");
+        let b = start(&consul, "b");
+        settle(&[&a, &b], 6).await;
+        assert!(left.elapsed() < 2 * TTL, "its name is free again");
+    });
+}
+
 // Guards against an owner that goes on while the store may have given its duty away, and against one that does not
 // come back.
 #[test]
