Test the hard cases of Consul that only parts of the tests had caused

The faults that tell nothing of the list are one list for both test files (the kill test gains 404, 429, an agent that is gone and a whole list without a leader); the two reload tests share their setup. No assertion is gone.

--- a/crates/consul/tests/source.rs
+++ b/crates/consul/tests/source.rs
@@ -150,20 +150,7 @@
 // Guards against a list emptied because Consul has nothing sensible to say, and against missing what changed meanwhile.
 #[test]
 fn no_fault_empties_the_list_and_what_changed_meanwhile_comes_after() {
-    let faults = [
-        Fault::Gone,
-        Fault::Vanishing,
-        Fault::Status(500, "No cluster leader", None),
-        Fault::Status(403, "Permission denied", None),
-        Fault::Status(404, "Invalid path", None),
-        Fault::Status(429, "Your IP is issuing too many concurrent connections", Some(1)),
-        Fault::NoLeader { whole: false },
-        Fault::NoLeader { whole: true },
-        Fault::CutShort,
-        Fault::Endless,
-        Fault::Garbage,
-    ];
-    for fault in faults {
+    for fault in Fault::that_tell_nothing() {
         run(async {
             let (consul, mut seen) = followed(2).await;
             consul.fault(fault.clone());
--- a/crates/stand-ins/src/consul.rs
+++ b/crates/stand-ins/src/consul.rs
@@ -103,6 +103,26 @@
     Index(Option<&'static str>),
 }
 
+impl Fault {
+    /// Those that say nothing of the list, whatever they answer: it has to stay as it was.
+    pub fn that_tell_nothing() -> Vec<Fault> {
+        vec![
+            Fault::Silent,
+            Fault::Gone,
+            Fault::Vanishing,
+            Fault::Status(500, "No cluster leader", None),
+            Fault::Status(403, "Permission denied", None),
+            Fault::Status(404, "Invalid path", None),
+            Fault::Status(429, "Your IP is issuing too many concurrent connections", Some(1)),
+            Fault::NoLeader { whole: false },
+            Fault::NoLeader { whole: true },
+            Fault::CutShort,
+            Fault::Endless,
+            Fault::Garbage,
+        ]
+    }
+}
+
 #[derive(Debug, Default)]
 struct World {
     index: u64,
--- a/crates/stand-ins/src/partner.rs
+++ b/crates/stand-ins/src/partner.rs
@@ -84,6 +84,8 @@
     pub at: Instant,
     /// Which endpoint.
     pub endpoint: SocketAddr,
+    /// The caller's end of the connection: another one has another.
+    pub peer: SocketAddr,
     /// The message.
     pub txn: String,
     /// Whether it was answered 200.
@@ -170,6 +172,7 @@
     async fn respond(
         &self,
         endpoint: SocketAddr,
+        peer: SocketAddr,
         request: Request<Incoming>,
     ) -> Option<Response<Full<Bytes>>> {
         let (parts, body) = request.into_parts();
@@ -188,7 +191,7 @@
             if mode == Mode::Serve && refuses && !state.has_room(&self.bearing, now) {
                 mode = Mode::Shut;
             }
-            state.calls.push(Call { at: now, endpoint, txn, served: false });
+            state.calls.push(Call { at: now, endpoint, peer, txn, served: false });
             (state.calls.len() - 1, mode)
         };
         let status = match mode {
@@ -238,9 +241,9 @@
         let listener = self.stage.listen(loopback());
         let address = listener.local_addr().expect("a socket");
         let inner = self.inner.clone();
-        self.stage.host(listener, move |request| {
+        self.stage.host(listener, move |peer, request| {
             let inner = inner.clone();
-            async move { inner.respond(address, request).await }
+            async move { inner.respond(address, peer, request).await }
         });
         address
     }
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -63,7 +63,7 @@
         let address = listener.local_addr().expect("a socket");
         let state = Arc::new(Mutex::new(State { list: list.to_owned(), ..State::default() }));
         let inner = state.clone();
-        stage.host(listener, move |request| respond(inner.clone(), request));
+        stage.host(listener, move |_, request| respond(inner.clone(), request));
         Platform { address, state, _stage: stage }
     }
 
--- a/crates/stand-ins/src/stage.rs
+++ b/crates/stand-ins/src/stage.rs
@@ -50,11 +50,11 @@
         self.handle.spawn(work);
     }
 
-    /// Serves each connection that comes there, for as long as the stage stands.
+    /// Serves each connection that comes there, given the other end's address with each request, for as long as the stage stands.
     pub(crate) fn host<B, F>(
         &self,
         listener: TcpListener,
-        answer: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        answer: impl Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     ) where
         B: Body + Send + 'static,
         B::Data: Send,
@@ -64,8 +64,9 @@
         self.spawn(async move {
             loop {
                 let stream = accept(&listener).await;
+                let Ok(peer) = stream.peer_addr() else { continue };
                 let answer = answer.clone();
-                tokio::spawn(async move { serve(stream, answer).await });
+                tokio::spawn(async move { serve(stream, |request| answer(peer, request)).await });
             }
         });
     }
--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -1,5 +1,6 @@
 //! The program with Consul as the source of its transport map: real sockets, a stand-in Consul, kills and reloads.
 
+use orchidyoke_stand_ins::certificates::Authority;
 use orchidyoke_stand_ins::consul::{Fault, Instance};
 use orchidyoke_stand_ins::forwarder::{Folder, Setup, hand_in, target};
 use orchidyoke_stand_ins::partner::{Above, Bearing, Call, Mode};
@@ -45,6 +46,19 @@
         Site { folder, platform, consul, partner: Partner::new(Bearing::default()) }
     }
 
+    /// An endpoint that discovery tells, one that Consul does, and a forwarder that follows discovery.
+    fn with_both(&self) -> (SocketAddr, SocketAddr, Forwarder) {
+        let listed = self.partner.endpoint();
+        let told =
+            serde_json::json!({"rev": 9, "all": true, "targets": [target("s1", listed, 3)]}).to_string();
+        self.platform.tell(&told);
+        let from_consul = self.register("w1");
+        self.folder.write("edge.star", "# nothing yet\n");
+        let forwarder = self.start();
+        assert_eq!(self.delivers(&forwarder, "first").endpoint, listed);
+        (listed, from_consul, forwarder)
+    }
+
     fn register(&self, id: &str) -> SocketAddr {
         let endpoint = self.partner.endpoint();
         self.consul.register(Instance::new("web", "n1", id, endpoint));
@@ -142,13 +156,7 @@
 #[test]
 fn a_reload_moves_from_discovery_to_consul_and_back_under_load() {
     let site = Site::new("consul-reload");
-    let listed = site.partner.endpoint();
-    let told = serde_json::json!({"rev": 9, "all": true, "targets": [target("s1", listed, 3)]}).to_string();
-    site.platform.tell(&told);
-    let from_consul = site.register("w1");
-    let settings = site.folder.write("edge.star", "# nothing yet\n").display().to_string();
-    let forwarder = Forwarder::start(Path::new(PROGRAM), &site.folder, &["--settings", &settings]);
-    assert_eq!(site.delivers(&forwarder, "first").endpoint, listed);
+    let (listed, from_consul, forwarder) = site.with_both();
     let mut sent = 0;
     let mut load = |site: &Site, count: usize| {
         for _ in 0..count {
@@ -181,14 +189,8 @@
 #[test]
 fn the_source_changes_back_and_forth_under_full_load() {
     let site = Site::new("consul-swap");
-    let listed = site.partner.endpoint();
-    let told = serde_json::json!({"rev": 9, "all": true, "targets": [target("s1", listed, 3)]}).to_string();
-    site.platform.tell(&told);
-    let from_consul = site.register("w1");
+    let (listed, from_consul, forwarder) = site.with_both();
     let (none, some) = ("# nothing\n".to_owned(), script(site.consul.address()));
-    let settings = site.folder.write("edge.star", &none).display().to_string();
-    let forwarder = Forwarder::start(Path::new(PROGRAM), &site.folder, &["--settings", &settings]);
-    site.delivers(&forwarder, "first");
     let (over, door) = (AtomicBool::new(false), forwarder.address);
     let taken: Vec<String> = std::thread::scope(|scope| {
         let client = |number: usize| {
@@ -346,17 +348,8 @@
 // once it is back.
 #[test]
 fn a_kill_in_the_middle_of_any_fault_leaves_the_list() {
-    let faults = [
-        Fault::Silent,
-        Fault::Vanishing,
-        Fault::Status(500, "No cluster leader", None),
-        Fault::Status(403, "Permission denied", None),
-        Fault::NoLeader { whole: false },
-        Fault::CutShort,
-        Fault::Endless,
-        Fault::Garbage,
-        Fault::Index(Some("0")),
-    ];
+    let mut faults = Fault::that_tell_nothing();
+    faults.push(Fault::Index(Some("0")));
     std::thread::scope(|scope| {
         for (number, fault) in faults.into_iter().enumerate() {
             scope.spawn(move || {
@@ -378,3 +371,128 @@
         }
     });
 }
+
+// Guards against a certificate that is trusted though it must not be, and against a list that goes with the trust: a
+// forwarder that starts anew meets it, says why in one line, and goes on with the list that it had.
+#[test]
+fn a_certificate_that_has_gone_bad_is_told_in_one_line_and_the_list_stays() {
+    let cases = [
+        ("run-out", "has run out"),
+        ("other-name", "is not for server.dc1.consul"),
+        ("other-authority", "signed by none of the authorities in"),
+    ];
+    std::thread::scope(|scope| {
+        for (what, why) in cases {
+            scope.spawn(move || {
+                let site = Site::new(&format!("consul-tls-{what}"));
+                let authority = Authority::new(site.folder.path(), "dc1");
+                let stranger = Authority::new(site.folder.path(), "dc2");
+                let (ip, day) = (site.consul.address().ip(), time::Duration::days(1));
+                let good = authority.sign("server.dc1.consul", ip, day);
+                site.consul.speak_tls(&good, None);
+                let tls = format!(
+                    "tls = tls(ca = {:?}, server_name = \"server.dc1.consul\"),\n    networks",
+                    authority.ca
+                );
+                site.folder.write("edge.star", &script(site.consul.address()).replace("networks", &tls));
+                let first = site.register("w1");
+                let forwarder = site.start();
+                assert_eq!(site.delivers(&forwarder, "a").endpoint, first);
+                forwarder.kill();
+                let bad = match what {
+                    "run-out" => authority.sign("old.dc1.consul", ip, -day),
+                    "other-name" => authority.sign("other.dc1.consul", ip, day),
+                    _ => stranger.sign("server2.dc1.consul", ip, day),
+                };
+                site.consul.speak_tls(&bad, None);
+                let forwarder = site.start();
+                let line = forwarder.logged("not answered", PATIENCE).expect("told");
+                assert!(line.contains(why) && line.contains(" s old"), "{line}");
+                assert_eq!(site.delivers(&forwarder, "b").endpoint, first);
+                site.consul.speak_tls(&good, None);
+                let second = site.register("w2");
+                site.consul.deregister("n1", "w1");
+                until("the change", || {
+                    site.delivers(&forwarder, &format!("c{}", site.partner.calls().len())).endpoint == second
+                });
+            });
+        }
+    });
+}
+
+// Guards against a kill that forgets what Consul had said of an endpoint: Consul is gone when the forwarder comes back.
+#[test]
+fn a_kill_after_any_change_of_an_endpoint_keeps_it_out() {
+    let changes =
+        ["draining", "critical", "draining and critical", "maintenance", "moved", "gone", "flapped"];
+    std::thread::scope(|scope| {
+        for (number, what) in changes.into_iter().enumerate() {
+            scope.spawn(move || {
+                let site = Site::new(&format!("consul-kill-{number}"));
+                let out = site.register("w1");
+                site.register("w2");
+                let forwarder = site.start();
+                site.delivers(&forwarder, "a");
+                let index = match what {
+                    "draining" => site.consul.tag("n1", "w1", "draining", true),
+                    "critical" => site.consul.status("n1", "w1", "critical"),
+                    "draining and critical" => {
+                        site.consul.tag("n1", "w1", "draining", true);
+                        site.consul.status("n1", "w1", "critical")
+                    }
+                    "maintenance" => site.consul.maintenance("n1", "w1", true),
+                    "moved" => {
+                        site.consul.register(Instance::new("web", "n1", "w1", site.partner.endpoint()))
+                    }
+                    "gone" => site.consul.deregister("n1", "w1"),
+                    _ => {
+                        (0..50).for_each(|turn| {
+                            site.consul.status(
+                                "n1",
+                                "w1",
+                                if turn % 2 == 0 { "critical" } else { "passing" },
+                            );
+                            std::thread::sleep(Duration::from_millis(1));
+                        });
+                        site.consul.status("n1", "w1", "critical")
+                    }
+                };
+                until("the change", || site.consul.told_at("web", index).is_some());
+                std::thread::sleep(Duration::from_millis(250));
+                forwarder.kill();
+                site.consul.fault(Fault::Gone);
+                let forwarder = site.start();
+                for number in 0..20 {
+                    assert_ne!(site.delivers(&forwarder, &format!("m{number}")).endpoint, out, "{what}");
+                }
+            });
+        }
+    });
+}
+
+// Guards against a connection, or a wait, that goes over to whoever has the address next.
+#[test]
+fn a_new_id_at_an_old_address_inherits_no_connection_and_no_trouble() {
+    let site = Site::new("consul-heir");
+    let address = site.register("w1");
+    let forwarder = site.start();
+    let before = site.delivers(&forwarder, "a").peer;
+    assert_eq!(site.delivers(&forwarder, "b").peer, before, "a connection is kept");
+    for trouble in [false, true] {
+        let (old, new) = if trouble { ("w2", "w3") } else { ("w1", "w2") };
+        let before = site.delivers(&forwarder, &format!("c-{new}")).peer;
+        if trouble {
+            site.partner.set(Mode::Fail);
+            (0..6).for_each(|number| assert_eq!(forwarder.hand_in("status", &format!("f{number}"), 3), 202));
+            until("failures", || site.partner.calls().iter().filter(|c| c.txn.starts_with('f')).count() >= 4);
+            site.partner.set(Mode::Serve);
+        }
+        site.consul.deregister("n1", old);
+        let index = site.consul.register(Instance::new("web", "n1", new, address));
+        until("the change", || site.consul.told_at("web", index).is_some());
+        std::thread::sleep(Duration::from_millis(250));
+        let call = site.delivers(&forwarder, &format!("d-{new}"));
+        assert!(call.peer != before && call.endpoint == address, "{call:?}");
+        assert_eq!(site.calls(&format!("d-{new}")).len(), 1, "the first call is served");
+    }
+}
