Make a member's place one more lock, and read times and heads in one place each

Need: on reading the change: keeper.rs kept a session "unknown" beside the leases, a special case with its own retries, and a member whose key was deleted by hand was forgotten until its session ended. forms.rs read two times by the same lines; exchange() corrected what head() had read. Change: membership is a lock that placement always gives (MEMBERSHIP), so asking, giving back and taking anew are the leases'. span() for wait and max_stale; head() knows the settings. keeper's tests share their start. No assertion is gone.

--- a/crates/config/src/forms.rs
+++ b/crates/config/src/forms.rs
@@ -8,12 +8,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Longest wait that Consul grants.
+/// The waits that may be asked for: the longest is the longest that Consul grants.
+const WAITS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(600));
 /// The bounds of the age that an answer may have: a leader's heartbeats are about a second apart.
-const LEAST_STALE: Duration = Duration::from_millis(100);
-const MOST_STALE: Duration = Duration::from_secs(3600);
-const LONGEST_WAIT: Duration = Duration::from_secs(600);
-const SHORTEST_WAIT: Duration = Duration::from_secs(1);
+const STALE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(3600));
 
 /// A name that is not known, with the nearest that is.
 pub(crate) fn unknown<'a>(what: &str, name: &str, known: impl Iterator<Item = &'a str>) -> String {
@@ -154,6 +152,21 @@
     Ok(network)
 }
 
+/// A time within bounds, both included; the usual one where none is said.
+fn span(
+    field: &str,
+    said: Option<&String>,
+    usual: Duration,
+    (least, most): (Duration, Duration),
+) -> Result<Duration, String> {
+    let Some(text) = said else { return Ok(usual) };
+    let within = humantime::parse_duration(text).ok().filter(|span| (least..=most).contains(span));
+    within.ok_or_else(|| {
+        let [least, most, usual] = [least, most, usual].map(humantime::format_duration);
+        format!("{field}: {text:?} is no time from {least} to {most}, as {usual}")
+    })
+}
+
 impl ConsulForm {
     /// The settings, if all can be used.
     pub(crate) fn settings(&self) -> Result<Settings, String> {
@@ -196,13 +209,7 @@
             }
         }
         let usual = Settings::default();
-        let wait = match &self.wait {
-            None => usual.wait,
-            Some(text) => humantime::parse_duration(text)
-                .ok()
-                .filter(|wait| (SHORTEST_WAIT..=LONGEST_WAIT).contains(wait))
-                .ok_or_else(|| format!("wait: {text:?} is no time from 1s to 10m, as 30s"))?,
-        };
+        let wait = span("wait", self.wait.as_ref(), usual.wait, WAITS)?;
         let consistency = match self.consistency.as_deref() {
             None | Some("default") => Consistency::Default,
             Some("stale") => Consistency::Stale,
@@ -215,13 +222,7 @@
         if self.max_stale.is_some() && consistency != Consistency::Stale {
             return Err("max_stale: goes with consistency = \"stale\"; else the leader answers".to_owned());
         }
-        let max_stale = match &self.max_stale {
-            None => usual.max_stale,
-            Some(text) => humantime::parse_duration(text)
-                .ok()
-                .filter(|age| (LEAST_STALE..=MOST_STALE).contains(age))
-                .ok_or_else(|| format!("max_stale: {text:?} is no time from 100ms to 1h, as 10s"))?,
-        };
+        let max_stale = span("max_stale", self.max_stale.as_ref(), usual.max_stale, STALE)?;
         let connections = self.connections.unwrap_or(usual.connections);
         if connections == 0 {
             return Err("connections: at least 1 is needed".to_owned());
--- a/crates/consul/src/client.rs
+++ b/crates/consul/src/client.rs
@@ -244,8 +244,11 @@
         question: &Question,
     ) -> Result<(Head, Bytes), ClientError> {
         let answered = self.exchange(connection, question).await;
-        let refusal = answered.as_ref().ok().map(|(head, _)| head.refusal());
-        if refusal.is_none_or(|refusal| refusal.is_some_and(|refusal| refusal.is_of_the_server())) {
+        let cut_off = match &answered {
+            Ok((head, _)) => head.refusal().is_some_and(|refusal| refusal.is_of_the_server()),
+            Err(_) => true,
+        };
+        if cut_off {
             self.give_up(connection.address);
         }
         answered
@@ -284,11 +287,7 @@
         .await?;
         let (parts, body) = answer.into_parts();
         let body = within(BODY, ClientError::Slow, read(body)).await?;
-        let mut head = head(parts.status.as_u16(), &parts.headers);
-        // Only servers other than the leader may answer with old data, and only if they were allowed to.
-        let limit = Some(self.settings.max_stale).filter(|_| self.settings.consistency == Consistency::Stale);
-        head.too_old = head.too_old.filter(|age| limit.is_some_and(|limit| *age > limit));
-        Ok((head, body))
+        Ok((head(parts.status.as_u16(), &parts.headers, &self.settings), body))
     }
 }
 
@@ -314,13 +313,16 @@
     Ok(all.freeze())
 }
 
-fn head(status: u16, headers: &HeaderMap) -> Head {
+fn head(status: u16, headers: &HeaderMap, settings: &Settings) -> Head {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let contact = text("X-Consul-LastContact").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+    // Only servers other than the leader may answer with old data, and only if they were allowed to.
+    let stale = settings.consistency == Consistency::Stale;
     Head {
         status,
         index: text("X-Consul-Index").map(str::to_owned),
         leaderless: text("X-Consul-KnownLeader") == Some("false"),
-        too_old: text("X-Consul-LastContact").and_then(|ms| ms.parse().ok()).map(Duration::from_millis),
+        too_old: contact.filter(|age| stale && *age > settings.max_stale),
         retry_after: text(RETRY_AFTER.as_str()).and_then(|value| value.trim().parse().ok()),
     }
 }
--- a/crates/duties/src/keeper.rs
+++ b/crates/duties/src/keeper.rs
@@ -1,9 +1,10 @@
 //! A forwarder's leases on Consul: carries out what [`Leases`] asks for, and tells it what came of it.
 //!
-//! Below a prefix there are two folders: `members/NAME`, held by each forwarder's session, and `duties/NUMBER`. One blocking
+//! Below a prefix there are two folders: `members/NAME`, held by each forwarder's session, and `duties/NUMBER`. To the
+//! leases a forwarder's place among the members is one more lock, that placement always gives to it. One blocking
 //! query on both tells who is there and who holds what; placement and leases go by that.
 
-use crate::lease::{Effect, Input, Leases, Lock, Session, Terms};
+use crate::lease::{Effect, Input, Leases, Lock, Terms};
 use crate::placement::{Name, place};
 use crate::{Duty, Token};
 use bytes::Bytes;
@@ -19,6 +20,9 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+/// The place among the members, where the leases have duties.
+const MEMBERSHIP: Duty = Duty::MAX;
+
 /// What a forwarder brings along.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -28,7 +32,7 @@
     pub weight: f64,
     /// Where the keys are, without a slash at its end.
     pub prefix: String,
-    /// The duties that are shared, the same for all members.
+    /// The duties that are shared, the same for all members; the highest number is none.
     pub duties: BTreeSet<Duty>,
     /// How long a lock stays closed after its session has ended.
     pub lock_delay: Duration,
@@ -36,26 +40,21 @@
     pub terms: Terms,
 }
 
-struct State {
-    leases: Leases,
-    /// A session that is still to be made known as this member's.
-    unknown: Option<Session>,
-}
-
 /// The leases of one forwarder, for as long as [`Keeper::run`] is polled.
 pub struct Keeper {
     member: Member,
     settings: Rc<Settings>,
     start: Instant,
-    state: RefCell<State>,
+    leases: RefCell<Leases>,
     leaving: Notify,
 }
 
 impl Keeper {
     /// For the Consul of these settings. Nothing is opened yet.
-    pub fn new(member: Member, settings: Rc<Settings>) -> Self {
-        let state = RefCell::new(State { leases: Leases::default(), unknown: None });
-        Keeper { member, settings, start: Instant::now(), state, leaving: Notify::new() }
+    pub fn new(mut member: Member, settings: Rc<Settings>) -> Self {
+        member.duties.remove(&MEMBERSHIP);
+        let (leases, leaving) = (RefCell::default(), Notify::new());
+        Keeper { member, settings, start: Instant::now(), leases, leaving }
     }
 
     fn now(&self) -> Micros {
@@ -64,12 +63,12 @@
 
     /// The token to act under, if an act may begin now. To be asked right before each.
     pub fn may_act(&self, duty: Duty) -> Option<Token> {
-        self.state.borrow().leases.may_act(&self.member.terms, self.now(), duty)
+        self.leases.borrow().may_act(&self.member.terms, self.now(), duty)
     }
 
     /// The duties held, with their tokens.
     pub fn held(&self) -> BTreeMap<Duty, Token> {
-        self.state.borrow().leases.held().collect()
+        self.leases.borrow().held().filter(|(duty, _)| *duty != MEMBERSHIP).collect()
     }
 
     /// Gives all back; [`Keeper::run`] ends when that is done. A store that does not answer can make it long: whoever
@@ -94,7 +93,7 @@
         loop {
             let now = self.now();
             let (asked, wake) = {
-                let leases = &mut self.state.borrow_mut().leases;
+                let mut leases = self.leases.borrow_mut();
                 let asked = leases.step(&self.member.terms, now, input.take().unwrap_or(Input::Tick));
                 (asked, leases.wake_at(&self.member.terms))
             };
@@ -105,7 +104,7 @@
                     effect => drop(effects.send((effect, now))),
                 }
             }
-            if self.state.borrow().leases.has_left() {
+            if self.leases.borrow().has_left() {
                 // What is asked for is still carried out, and then the writing ends too.
                 return;
             }
@@ -120,7 +119,11 @@
 
     async fn write(&self, mut asked: UnboundedReceiver<(Effect, Micros)>, inputs: &UnboundedSender<Input>) {
         let mut locks = Locks::new(self.settings.clone());
-        let (member, key) = (&self.member, |duty: Duty| format!("{}/duties/{duty}", self.member.prefix));
+        let member = &self.member;
+        let key = |duty| match duty {
+            MEMBERSHIP => format!("{}/members/{}", member.prefix, member.name),
+            duty => format!("{}/duties/{duty}", member.prefix),
+        };
         // Three questions for a renewal in a TTL, so one that is not answered leaves time for another.
         let patience = Duration::from_micros(member.terms.ttl as u64 / 3);
         while let Some((effect, at)) = asked.recv().await {
@@ -135,7 +138,6 @@
                     Effect::Create => {
                         let ttl = Duration::from_micros(member.terms.ttl as u64);
                         let id = locks.create(&member.name, ttl, member.lock_delay).await?;
-                        self.state.borrow_mut().unknown = Some(id.clone());
                         Some(Input::Created(id, at))
                     }
                     Effect::Renew(id) => match locks.renew(&id).await? {
@@ -143,14 +145,12 @@
                         false => Some(Input::Gone(id)),
                     },
                     Effect::Destroy(id) => {
-                        // Its name is free for whoever comes back under it without a lock-delay.
-                        let name = format!("{}/members/{}", member.prefix, member.name);
-                        drop(locks.release(&name, &id).await);
                         locks.destroy(&id).await;
                         None
                     }
                     Effect::Acquire(duty, id) => {
-                        locks.acquire(&key(duty), &id, Bytes::new()).await?;
+                        // Only a member's has a use; who holds a duty is its session's matter.
+                        locks.acquire(&key(duty), &id, Bytes::from(member.weight.to_string())).await?;
                         Some(Input::Asked(duty))
                     }
                     Effect::Release(duty, id) => {
@@ -171,25 +171,10 @@
                     lost
                 }
             };
-            drop(timeout(patience, self.make_known(&mut locks)).await);
             input.into_iter().for_each(|input| drop(inputs.send(input)));
         }
     }
 
-    /// Puts a new session under this member's name, so that the others count with it.
-    async fn make_known(&self, locks: &mut Locks) {
-        let Some(session) = self.state.borrow().unknown.clone() else { return };
-        if self.state.borrow().leases.has_left() {
-            return;
-        }
-        let key = format!("{}/members/{}", self.member.prefix, self.member.name);
-        let value = Bytes::from(self.member.weight.to_string());
-        // The name may be closed for the lock-delay of the session before: it is tried again with the next write.
-        if let Ok(true) = locks.acquire(&key, &session, value).await {
-            self.state.borrow_mut().unknown = None;
-        }
-    }
-
     async fn watch(&self, inputs: &UnboundedSender<Input>) {
         let mut locks = Locks::new(self.settings.clone());
         let (mut index, prefix) = (0, format!("{}/", self.member.prefix));
@@ -217,9 +202,13 @@
     fn picture(&self, rows: &[Row]) -> (BTreeSet<Duty>, BTreeMap<Duty, Lock>) {
         let (mut members, mut names, mut locks) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         for row in rows {
+            let lock = || Lock { session: row.session.clone(), index: row.modify_index };
             let below = row.key.strip_prefix(&self.member.prefix).and_then(|rest| rest.strip_prefix('/'));
             match below.and_then(|below| below.split_once('/')) {
                 Some(("members", name)) => {
+                    if name == self.member.name {
+                        locks.insert(MEMBERSHIP, lock());
+                    }
                     if let Some(session) = &row.session {
                         names.insert(session.clone(), name.to_owned());
                         members.insert(name.to_owned(), row.text().parse().unwrap_or(0.0));
@@ -227,7 +216,7 @@
                 }
                 Some(("duties", duty)) => {
                     if let Ok(duty) = duty.parse() {
-                        locks.insert(duty, Lock { session: row.session.clone(), index: row.modify_index });
+                        locks.insert(duty, lock());
                     }
                 }
                 _ => {}
@@ -237,6 +226,6 @@
         let held = locks.iter().filter_map(|(duty, lock)| Some((*duty, owner(lock)?))).collect();
         let placed = place(&members, &self.member.duties, &held);
         let mine = placed.into_iter().filter(|(_, name)| *name == self.member.name).map(|(duty, _)| duty);
-        (mine.collect(), locks)
+        (mine.chain([MEMBERSHIP]).collect(), locks)
     }
 }
--- a/crates/duties/tests/keeper.rs
+++ b/crates/duties/tests/keeper.rs
@@ -74,12 +74,18 @@
     }
 }
 
+/// Two members that have settled.
+async fn two() -> (Consul, Running, Running) {
+    let consul = Consul::start();
+    let (a, b) = (start(&consul, "a"), start(&consul, "b"));
+    settle(&[&a, &b], 6).await;
+    (consul, a, b)
+}
+
 #[test]
 fn duties_are_shared_evenly_and_taken_over_from_who_dies() {
     run(async {
-        let consul = Consul::start();
-        let (a, b) = (start(&consul, "a"), start(&consul, "b"));
-        settle(&[&a, &b], 6).await;
+        let (consul, a, b) = two().await;
         let c = start(&consul, "c");
         settle(&[&a, &b, &c], 4).await;
         let before = owners(&[&a, &b, &c]);
@@ -98,9 +104,7 @@
 #[test]
 fn who_leaves_in_good_order_hands_over_at_once_and_may_come_back() {
     run(async {
-        let consul = Consul::start();
-        let (a, b) = (start(&consul, "a"), start(&consul, "b"));
-        settle(&[&a, &b], 6).await;
+        let (consul, a, b) = two().await;
         b.keeper.leave();
         let left = Instant::now();
         settle(&[&a], 12).await;
@@ -117,9 +121,7 @@
 #[test]
 fn a_silent_store_ends_all_acts_within_a_lease_and_they_come_back() {
     run(async {
-        let consul = Consul::start();
-        let (a, b) = (start(&consul, "a"), start(&consul, "b"));
-        settle(&[&a, &b], 6).await;
+        let (consul, a, b) = two().await;
         consul.fault(Fault::Silent);
         sleep(TTL).await;
         assert_eq!(owners(&[&a, &b]), BTreeMap::new(), "no act without a lease");
@@ -127,3 +129,27 @@
         settle(&[&a, &b], 6).await;
     });
 }
+
+// Guards against a member that its fleet forgets when somebody deletes its key, and against a lock deleted by hand that
+// its owner goes on with under the old token.
+#[test]
+fn keys_that_are_deleted_by_hand_are_taken_anew_under_higher_tokens() {
+    run(async {
+        let (consul, a, b) = two().await;
+        let before = owners(&[&a, &b]);
+        consul.delete_keys("orchidyoke/one/members/a");
+        consul.delete_keys("orchidyoke/one/duties/");
+        let end = Instant::now() + Duration::from_secs(40);
+        loop {
+            // The old owner may act until it hears of it: two at once are what the tokens are for here.
+            let held: BTreeMap<Duty, Token> =
+                [&a, &b].iter().flat_map(|member| member.keeper.held()).collect();
+            let counts = [&a, &b].map(|member| member.keeper.held().len());
+            if counts == [6, 6] && held.iter().all(|(duty, token)| *token > before[duty]) {
+                break;
+            }
+            assert!(Instant::now() < end, "{counts:?}");
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
--- a/crates/stand-ins/src/consul.rs
+++ b/crates/stand-ins/src/consul.rs
@@ -283,6 +283,11 @@
         self.check(node, id, &format!("_service_maintenance:{id}"), on.then_some("critical"))
     }
 
+    /// Somebody deletes all keys with this beginning, whoever holds them.
+    pub fn delete_keys(&self, beginning: &str) {
+        self.change(|world| world.store.delete(beginning, true));
+    }
+
     /// Sessions that are not renewed end after so many times their TTL: 1 to 2, as Consul has it.
     pub fn sessions_end_after(&self, ttls: f64) {
         self.inner.world().store.ends_after = ttls.clamp(1.0, 2.0);
