Ask for the list in turn: capped back-off with full jitter by the size of the fleet

Cause: a watch that was lost was asked for again after a fixed 250 ms.

Checked and ruled out: the calls do not ask for the whole list (since is sent; the first line is empty). The first line comes at once from the agent and is no sign of success, so a watch counts as taken on once it has lasted 4 s.

Lines at fault: FOLLOW_AGAIN in crates/node/src/reducer/mod.rs and its use at MapLost; the ask at the start.

Change: crates/node/src/backoff.rs, capped exponential back-off with full jitter from the configuration's seed.

--- a/crates/node/src/reducer/hops.rs
+++ b/crates/node/src/reducer/hops.rs
@@ -1,7 +1,7 @@
 //! The transport map: where it comes from, the endpoints in it, and a new configuration.
 
-use super::Reducer;
 use super::records::Bounds;
+use super::{Reducer, follow_pauses};
 use crate::config::Config;
 use crate::input::{Effect, Following};
 use crate::source::Catalogue;
@@ -40,6 +40,8 @@
         self.pool.bound(settings.idle_close, bounds.links);
         self.space.limit(bounds.disk);
         self.recent.bound(bounds.recent);
+        let (first, most) = follow_pauses(&settings);
+        self.follow_pause.bound(first, most);
         (self.settings, self.names) = (settings.clone(), names);
         self.events.push(Event::Settings(Box::new(settings)));
         // The numbers of zones and kinds may have changed.
@@ -49,7 +51,7 @@
 
     pub(super) fn follow(&mut self, now: Micros) {
         if !self.following && now >= self.follow_at {
-            self.following = true;
+            (self.following, self.followed_since) = (true, now);
             self.watch += 1;
             let from = match &self.catalogue {
                 Some(catalogue) => {
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -12,6 +12,7 @@
 mod records;
 mod stop;
 
+use crate::backoff::Backoff;
 use crate::config::Config;
 use crate::input::{DoorAnswer, Effect, Input, Receipt, Ticket, WatchId};
 use crate::pool::{CallId, Pool};
@@ -36,8 +37,15 @@
 const SECOND: Micros = 1_000_000;
 /// What a deferred client is told where the journal has no room: about when some messages will have ended.
 const NO_ROOM_PAUSE: Micros = SECOND;
-/// Pause before the list is asked for again.
+/// The list is asked for within so long for each forwarder of the fleet, at a start and when a watch is lost: a fleet
+/// started together, or cut off together, asks about five times a second. The bound doubles with each failure.
+const FOLLOW_SHARE: Micros = 200_000;
+/// A fleet of one asks again within this.
 const FOLLOW_AGAIN: Micros = 250_000;
+/// Without the list for so many times the time allowed between calls, a forwarder asks again all the same.
+const FOLLOW_LONGEST: Micros = 4;
+/// A watch that has lasted for so long was taken on: one that waits for discovery in vain is closed before.
+const FOLLOWED: Micros = 4 * SECOND;
 
 /// What an append is for.
 #[derive(Debug)]
@@ -46,6 +54,13 @@
     Begin(CallId),
 }
 
+/// The first and the last bound of the pause before the list is asked for again, by the size of the fleet.
+fn follow_pauses(settings: &Settings) -> (Micros, Micros) {
+    let first = Micros::from(settings.fleet_size).saturating_mul(FOLLOW_SHARE).max(FOLLOW_AGAIN);
+    let most = settings.ask_every.max(0).saturating_mul(FOLLOW_LONGEST).max(FOLLOW_AGAIN);
+    (first.min(most), most)
+}
+
 /// The state of one forwarder. See [`Reducer::step`].
 #[derive(Debug)]
 pub struct Reducer {
@@ -82,6 +97,8 @@
     watch: WatchId,
     following: bool,
     follow_at: Micros,
+    followed_since: Micros,
+    follow_pause: Backoff,
     pool: Pool,
     flights: BTreeMap<CallId, Flight>,
     next_call: CallId,
@@ -101,6 +118,11 @@
         let settings = config.settings;
         let left = replay(records);
         let bounds = Bounds::new(&settings, config.limits);
+        let (first, most) = follow_pauses(&settings);
+        let mut follow_pause = Backoff::new(first, most, config.seed);
+        // Forwarders of a release start together. One that is alone waits for nobody.
+        let others = Micros::from(settings.fleet_size.saturating_sub(1)).saturating_mul(FOLLOW_SHARE);
+        let follow_at = now + follow_pause.within(others.min(most));
         let mut reducer = Reducer {
             controller: Controller::new(settings.clone(), config.seed),
             events: Vec::new(),
@@ -126,7 +148,9 @@
             superseded: left.superseded.filter(|address| config.discovery.given == Some(*address)),
             watch: 0,
             following: false,
-            follow_at: now,
+            follow_at,
+            followed_since: now,
+            follow_pause,
             pool: Pool::new(settings.idle_close, bounds.links),
             flights: BTreeMap::new(),
             next_call: 0,
@@ -197,7 +221,10 @@
             }
             Input::MapLost { watch, why } if watch == self.watch => {
                 self.log(format!("transport map: {why}; the last list stays in use"));
-                (self.following, self.follow_at) = (false, now + FOLLOW_AGAIN);
+                if now - self.followed_since >= FOLLOWED {
+                    self.follow_pause.reset();
+                }
+                (self.following, self.follow_at) = (false, now + self.follow_pause.pause());
             }
             // A watch before this one, that told more or ended as it was left.
             Input::News { .. } | Input::MapLost { .. } => {}
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -780,3 +780,41 @@
     let uids: Vec<_> = held[1].targets.iter().map(|t| t.uid.as_str()).collect();
     assert_eq!((held[0].targets.len(), uids), (4, vec!["n1/web-0", "s-a", "s-b", "s-c"]));
 }
+
+/// When each of a fleet asks for its list: at the start, and after its first watch was lost in the same moment.
+fn fleet_asks(size: u32) -> (Vec<Micros>, Vec<Micros>) {
+    let asks = |reducer: &mut Reducer, from: Micros| {
+        let at = (0..600).map(|n| from + n * S / 10).find(|now| {
+            let effects = reducer.step(*now, Input::Alarm);
+            effects.iter().any(|effect| matches!(effect, Effect::Follow { .. }))
+        });
+        at.expect("asked") - from
+    };
+    let one = |seed: u32| {
+        let text = common::config("127.0.0.1:1", "127.0.0.1:2", common::targets());
+        let text = text.replace("\"fleet_size\":1", &format!("\"fleet_size\":{size}"));
+        let mut config = Config::read(&text, None, None).expect("a configuration");
+        assert_eq!(config.settings.fleet_size, size);
+        (config.seed, config.settings.ask_every) = (u64::from(seed), 10 * S);
+        let mut reducer = Reducer::new(config, Vec::new(), 0, START);
+        let first = asks(&mut reducer, START);
+        let lost = START + 60 * S;
+        reducer.step(lost, Input::MapLost { watch: 1, why: "it ended".to_owned() });
+        (first, asks(&mut reducer, lost))
+    };
+    (0..size).map(one).unzip()
+}
+
+// Guards against a release or a lost discovery that has the whole fleet ask for its list in the same moment, which
+// then answers nobody in time; and against a lone forwarder that waits for others.
+#[test]
+fn a_large_fleet_asks_for_its_list_in_turn() {
+    let (starts, agains) = fleet_asks(100);
+    for (what, asks) in [("at the start", starts), ("after the loss", agains)] {
+        let busiest = (0..20).map(|second| asks.iter().filter(|at| **at / S == second).count()).max();
+        assert!(busiest <= Some(14), "{what}: {busiest:?} in one second");
+        assert!(asks.iter().all(|at| *at <= 20 * S), "{what}: within its share of the fleet's time");
+    }
+    assert_eq!(fleet_asks(1).0, [0]);
+    assert!(fleet_asks(3).1.iter().all(|at| *at <= 7 * S / 10), "a small fleet is back at once");
+}
