Pace a route below one call in flight by this forwarder's even part of the limit

The pause after a refusal (gap) was cleared by any success, so the fleet came back in step: 63 calls, all refused, then silence, with a period of about 5 s. From 15 s on nine tenths of what was served at busy destinations was up to 8 to 10 s old: late messages went oldest first.

Lines at fault: has_room's window alone (crates/core/src/control.rs), `(route.gap, route.pause_until) = (0.0, 0)` in judge, and rank's due time in the late stage.

Change: where an even part of the limit told is under one call in flight, a token bucket (crates/core/src/traffic.rs) lets calls go at that rate, two saved up at most. A refusal empties it by chance below nothing and takes a quarter of the pace; it grows back by half a second, to 1 + 8/n parts in a fleet of n. Late messages go newest first. Idle connections are no longer closed for a minute after a refused connection: an outage set that off for the whole fleet. Dice moved to a file of its own.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -3,8 +3,9 @@
 //! The ordinary path is the paper's adaptive window (`docs/design.md`): each route has a window on calls in
 //! flight, grown by a clean first try, halved by any push-back. The rest keeps the rules.
 
+use crate::dice::Dice;
 use crate::interface::*;
-use crate::traffic::Count;
+use crate::traffic::{Bucket, Count};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const SECOND: Micros = 1_000_000;
@@ -27,8 +28,6 @@
 /// The same where all were turned away unseen: over its limit a system does that for a while too.
 const SHUT_STREAK: u32 = 8;
 const SHUT_SILENCE: Micros = 6 * SECOND;
-/// A failed connection tells for so long that endpoints of its kind are short of connections.
-const CROWDED: Micros = 60 * SECOND;
 /// A call is overdue after its usual time plus this many mean deviations (four, as TCP's RTO).
 const DEVIATIONS: f64 = 4.0;
 /// Usual time of a destination never heard of, in microseconds: a slow system's answer and a handshake.
@@ -61,9 +60,18 @@
 /// First pause before the list is asked for again, doubled up to a quarter of the time allowed.
 const ASK_FIRST: Micros = 500_000;
 
+/// Below one call in flight a route is paced, in even parts of the limit told; it saves up two calls. A refusal
+/// takes a quarter; it grows back by half a second to a part and more: in a fleet of a few one may have nearly all
+/// that there is to send, in a large one they are more alike.
+const PACE_DEPTH: f64 = 2.0;
+const PACE_SHRINK: f64 = 0.75;
+const PACE_LEAST: f64 = 0.25;
+const PACE_GROW: f64 = 1.5;
+const PACE_FLEET: f64 = 8.0;
+
 type RouteId = usize;
 type CallId = u64;
-/// Place in a queue: stage (0 in time, 1 late), due time, number.
+/// Place in a queue: stage (0 in time, 1 late), due time (late: how late, the least first), number.
 type Rank = (u8, Micros, MessageId);
 
 /// One message: what it is, what may have become of it so far, and where it stands in its queue.
@@ -146,6 +154,9 @@
     window: f64,
     /// After refusals: time between calls, as a window below one; 0 where none is needed.
     gap: f64,
+    /// Calls a second in even parts of the limit, and those that may go now.
+    pace: f64,
+    bucket: Bucket,
     in_flight: usize,
     /// Calls out that are overdue, and those given up as lost when the route came back.
     overdue: usize,
@@ -178,8 +189,8 @@
 impl Route {
     fn new(now: Micros) -> Self {
         let (usual, deviation) = (UNKNOWN_USUAL, UNKNOWN_USUAL / 2.0);
-        let served = Count::starting(1.0, now);
-        Route { window: 1.0, usual, deviation, served, ..Route::default() }
+        let (served, bucket) = (Count::starting(1.0, now), Bucket::starting(1.0, now));
+        Route { window: 1.0, pace: 1.0, bucket, usual, deviation, served, ..Route::default() }
     }
 
     /// Failing or slow: push-backs in a row, or a call overdue before its time-out has ended.
@@ -209,12 +220,30 @@
     /// pushed back (and one, so that all may try); where a capacity is told, half that and half an even part.
     fn share(&self, now: Micros, set: &Settings) -> f64 {
         let own = self.served.rate(self.pushed.map_or(now, |(first, _)| first));
+        self.even_part(set).map_or(own, |even| (own + even) / 2.0)
+    }
+
+    /// An even part of the capacity that is told, in calls a second.
+    fn even_part(&self, set: &Settings) -> Option<f64> {
         let told = match set.weights {
             Weights::None => self.limit,
             Weights::Nominal => self.weight,
             Weights::Rough => self.weight * ROUGH,
         };
-        if told > 0.0 { (own + told / f64::from(set.fleet_size.max(1))) / 2.0 } else { own }
+        Some(told / f64::from(set.fleet_size.max(1))).filter(|even| *even > 0.0)
+    }
+
+    /// Calls a second where its even part is under one in flight: all windows at their floor would exceed the limit.
+    fn paced(&self, set: &Settings) -> Option<f64> {
+        let floors = |even: &f64| set.fleet_size > 1 && even * self.usual < SECOND as f64;
+        self.even_part(set).filter(floors).map(|even| even * self.pace)
+    }
+
+    fn pay(&mut self, now: Micros, set: &Settings, calls: f64) {
+        let Some(rate) = self.paced(set) else { return };
+        let most = 1.0 + PACE_FLEET / f64::from(set.fleet_size);
+        self.pace = (self.pace * PACE_GROW.powf(self.bucket.age(now))).min(most);
+        self.bucket.take(now, rate, PACE_DEPTH, calls);
     }
 
     /// Present capacity that the route is sure to have, as a part of its own; none where nothing binds.
@@ -229,23 +258,6 @@
     }
 }
 
-/// The only source of chance.
-#[derive(Debug)]
-struct Dice(fastrand::Rng);
-
-impl Default for Dice {
-    fn default() -> Self {
-        Dice(fastrand::Rng::with_seed(0))
-    }
-}
-
-impl Dice {
-    /// A span up to a quarter shorter or longer, so that forwarders do not act in step.
-    fn jitter(&mut self, span: Micros) -> Micros {
-        (span as f64 * (0.75 + 0.5 * self.0.f64())) as Micros
-    }
-}
-
 /// One controller for one forwarder. See [`Controller::step`].
 #[derive(Debug, Default)]
 pub struct Controller {
@@ -263,10 +275,6 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     routes: Vec<Route>,
     slots_used: usize,
-    /// For each kind: until when its endpoints count as short of connections.
-    crowded: BTreeMap<usize, Micros>,
-    /// Endpoints whose last call has ended in this step.
-    left: Vec<EndpointId>,
     message_wakes: BTreeSet<(Micros, MessageId)>,
     call_wakes: BTreeSet<(Micros, CallId)>,
     timer_at: Micros,
@@ -281,7 +289,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Controller {
             set: settings,
-            dice: Dice(fastrand::Rng::with_seed(seed)),
+            dice: Dice::new(seed),
             timer_at: Micros::MAX,
             ask_at: Micros::MIN,
             ..Controller::default()
@@ -313,7 +321,6 @@
         self.run_wakes(actions);
         self.make_room(actions);
         self.send_all(actions);
-        self.close_idle(actions);
         self.forget_gone();
         self.set_timer(actions);
     }
@@ -519,8 +526,10 @@
         let Some(message) = self.messages.get_mut(&id) else { return };
         let weight = (stake(&message.class) / least.max(1e-6)).clamp(1.0, 10.0);
         let given = message.aim_at - message.class.aim;
-        let due = given + (message.class.aim as f64 / weight) as Micros;
         let stage = u8::from(self.now >= message.aim_at);
+        // In time the first due goes first; of those that are late the last, which has lost least.
+        let due = given + (message.class.aim as f64 / weight) as Micros;
+        let due = if stage == 0 { due } else { -message.aim_at };
         if stage == 0 {
             self.message_wakes.insert((message.aim_at, id));
         }
@@ -684,9 +693,6 @@
         if kept && place.in_flight.is_multiple_of(self.set.streams.max(1)) {
             place.idle.push(self.now);
         }
-        if place.in_flight == 0 {
-            self.left.push(call.endpoint);
-        }
         let route = &mut self.routes[call.route];
         route.in_flight -= 1;
         route.overdue -= usize::from(call.overdue);
@@ -724,12 +730,17 @@
             return;
         }
         route.pushed = Some((route.pushed.map_or(self.now, |(first, _)| first), self.now));
+        if outcome == Outcome::Full && route.health == Health::Good {
+            // What was saved up is gone, and those refused together do not come back together.
+            let saved = route.paced(&self.set).map_or(0.0, |r| route.bucket.room(self.now, r, PACE_DEPTH));
+            route.pay(self.now, &self.set, saved.max(0.0) + self.dice.part());
+            route.pace = (route.pace * PACE_SHRINK).max(PACE_LEAST);
+        }
         let at_floor = route.window < 2.0;
         route.window = (route.window * SHRINK).max(1.0);
         // Turned away unseen: refused, or no connection at once; a silent machine lets it wait for one.
-        let crowded = outcome == Outcome::ConnectFailed && answer.took < self.set.connect_timeout;
-        crowded.then(|| self.crowded.insert(place.kind, self.now + CROWDED));
-        let turned_away = outcome == Outcome::Full || crowded;
+        let unconnected = outcome == Outcome::ConnectFailed && answer.took < self.set.connect_timeout;
+        let turned_away = outcome == Outcome::Full || unconnected;
         route.failing |= !turned_away;
         route.streak += u32::from(!was_overdue);
         route.timeouts += u32::from(outcome == Outcome::Timeout);
@@ -742,7 +753,7 @@
             let cold = (BUDGET_SHARE / SHRINK * self.set.fall_multiple * self.set.cold_from).clamp(0.1, 1.0);
             let least = (SECOND as f64 / cold / route.share(self.now, &self.set).max(1e-3)).min(life);
             route.gap = (route.gap / SHRINK).clamp(least, 2.0 * life);
-            route.pause_until = self.now + (self.dice.0.f64() * route.gap) as Micros;
+            route.pause_until = self.now + (self.dice.part() * route.gap) as Micros;
         } else if outcome != Outcome::Timeout && answer.wait == 0 {
             let pause = (PAUSE_FIRST << (route.streak.saturating_sub(1)).min(8)).min(PAUSE_LAST);
             route.pause_until = self.now + self.dice.jitter(pause);
@@ -830,7 +841,8 @@
             }
             _ => self.now,
         };
-        route.wait_until.max(route.pause_until).max(budget).max(self.now)
+        let paced = route.paced(&self.set).map_or(self.now, |rate| route.bucket.opens_at(self.now, rate));
+        route.wait_until.max(route.pause_until).max(budget).max(paced).max(self.now)
     }
 
     /// Calls that this forwarder may send to a route that is out or cold, in any span of `tip_after`.
@@ -851,7 +863,7 @@
         for id in waiting.flat_map(|d| &d.endpoints).map(|e| self.endpoints[e].route).collect::<Vec<_>>() {
             if let Some(calls) = self.budget(id).filter(|_| self.routes[id].draw_at <= self.now) {
                 self.routes[id].draw_at = self.now + (self.set.tip_after / 2).max(1);
-                self.routes[id].drawn = (self.dice.0.f64() < calls / 2.0).then_some(self.now);
+                self.routes[id].drawn = (self.dice.part() < calls / 2.0).then_some(self.now);
             }
         }
     }
@@ -900,15 +912,15 @@
 
     /// The best of these by cost and chance; chance alone would go by weight.
     fn choose(&mut self, message: MessageId) -> Option<EndpointId> {
-        let mut draws = self.dice.0.clone();
+        let mut draws = self.dice.clone();
         let message = self.messages.get(&message)?;
         let spread = SPREAD_COST / (1.0 + SPREAD_FLEET / f64::from(self.set.fleet_size.max(1)));
         let costs = self.fit(message).map(|(id, place)| {
-            let chance = -draws.f64().max(1e-9).ln() / self.routes[place.route].weight.max(1e-3);
+            let chance = -draws.part().max(1e-9).ln() / self.routes[place.route].weight.max(1e-3);
             (self.cost(place) + spread * chance.max(1e-9).ln(), id)
         });
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id);
-        self.dice.0 = draws;
+        self.dice = draws;
         best
     }
 
@@ -978,19 +990,6 @@
         }
     }
 
-    /// Where endpoints are short of connections, none is held idle: those of hundreds of forwarders fill the
-    /// tables. It costs a handshake for each call, and hurts where one forwarder sends nearly all.
-    fn close_idle(&mut self, actions: &mut Vec<Action>) {
-        for endpoint in std::mem::take(&mut self.left) {
-            let Some(place) = self.endpoints.get_mut(&endpoint) else { continue };
-            let crowded = self.crowded.get(&place.kind).is_some_and(|until| *until > self.now);
-            if crowded && place.in_flight == 0 {
-                place.idle.clear();
-                actions.push(Action::Close { endpoint });
-            }
-        }
-    }
-
     fn open_call(&mut self, endpoint: EndpointId, going: &[MessageId]) {
         let clean = going.iter().all(|id| self.messages.get(id).is_some_and(|m| m.first_try));
         let Some(place) = self.endpoints.get_mut(&endpoint) else { return };
@@ -1005,6 +1004,7 @@
         route.in_flight += 1;
         let weight = 1 + going.len() / 5;
         route.sends.extend(std::iter::repeat_n(self.now, weight));
+        route.pay(self.now, &self.set, 1.0);
         route.draw_at = self.now + weight as Micros * self.set.tip_after / 2;
         route.drawn = None;
         let old = route.sends.partition_point(|at| self.now - at >= self.set.tip_after);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! Nothing here opens a connection, reads a clock or starts a thread.
 
 pub mod control;
+pub mod dice;
 pub mod interface;
 pub mod settings;
 pub mod traffic;
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -1,4 +1,4 @@
-//! Counting what comes in time: a rate that follows the traffic and forgets by halves.
+//! Counting what comes in time: a rate that follows the traffic and forgets by halves, and a bucket that a rate fills.
 
 use crate::interface::Micros;
 
@@ -39,6 +39,42 @@
     }
 }
 
+/// A token bucket: what a rate lets go now. It may owe.
+#[derive(Debug, Default)]
+pub struct Bucket {
+    room: f64,
+    at: Micros,
+}
+
+impl Bucket {
+    /// A bucket with so much in it now.
+    pub fn starting(room: f64, now: Micros) -> Self {
+        Bucket { room, at: now }
+    }
+
+    /// What is in it, filled by `rate` a second up to `depth`.
+    pub fn room(&self, now: Micros, rate: f64, depth: f64) -> f64 {
+        (self.room + rate * self.age(now)).min(depth)
+    }
+
+    /// Seconds since something was last taken out.
+    pub fn age(&self, now: Micros) -> f64 {
+        (now - self.at) as f64 / SECOND as f64
+    }
+
+    /// Takes out so much, be it there or not.
+    pub fn take(&mut self, now: Micros, rate: f64, depth: f64, much: f64) {
+        (self.room, self.at) = (self.room(now, rate, depth) - much, now);
+    }
+
+    /// When one is in it.
+    pub fn opens_at(&self, now: Micros, rate: f64) -> Micros {
+        let short = 1.0 - self.room(now, rate, 1.0);
+        // A rounding error is no debt; and a rate near nothing opens in days, not never.
+        if short < 1e-6 { now } else { now + (short / rate.max(1e-6) * SECOND as f64).ceil() as Micros }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -55,4 +91,21 @@
         (151..=600).for_each(|second| (0..4).for_each(|_| count.add(second * SECOND)));
         assert!((count.rate(600 * SECOND) - 4.0).abs() < 0.3, "{}", count.rate(600 * SECOND));
     }
+
+    // Guards against a lull that saves up more than the bucket holds, a debt forgotten, and a moment of opening at
+    // which the bucket is still short.
+    #[test]
+    fn a_bucket_fills_to_its_depth_and_pays_its_debts() {
+        let mut bucket = Bucket::starting(1.0, 0);
+        assert_eq!(bucket.opens_at(0, 0.3), 0);
+        bucket.take(0, 0.3, 2.0, 1.0);
+        let opens = bucket.opens_at(0, 0.3);
+        assert!((3_333_333..3_333_400).contains(&opens));
+        assert_eq!(bucket.opens_at(opens, 0.3), opens);
+        bucket.take(100 * SECOND, 0.3, 2.0, 0.0);
+        assert_eq!(bucket.room(100 * SECOND, 0.3, 2.0), 2.0);
+        bucket.take(100 * SECOND, 0.3, 2.0, 3.5);
+        assert!((bucket.room(105 * SECOND, 0.3, 2.0) - 0.0).abs() < 1e-9);
+        assert!(bucket.opens_at(105 * SECOND, 0.0) < Micros::MAX / 2);
+    }
 }
