--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -1175,3 +1175,30 @@
     let next = sends(&bench.end(first, Outcome::Ok));
     assert_eq!(next.iter().map(|s| s.0).collect::<Vec<_>>(), [first + 3], "the last handed in");
 }
+
+#[test]
+fn a_limit_that_is_no_limit_paces_nobody() {
+    // Guards against a list that omits limits, or has odd ones, stopping deliveries; and an odd size of the fleet.
+    for weight in [0.0, -3.0, f64::NAN, f64::INFINITY] {
+        for fleet_size in [0, 1, 100, u32::MAX] {
+            let set = Settings { fleet_size, ..settings() };
+            let mut bench = Bench::new(set, &[Entry { weight, ..entry(1, 1, 0, 0) }]);
+            bench.warm_up(1, 10);
+        }
+    }
+    // A limit that is a fleet's, on the other hand, is shared: one call in five seconds, and one that was saved up.
+    for (fleet_size, calls) in [(0, 10..=10), (1, 10..=10), (100, 1..=2)] {
+        let set = Settings { fleet_size, ..settings() };
+        let mut bench = Bench::new(set, &[entry(1, 1, 0, 0)]);
+        let mut sent = 0;
+        for _ in 0..10 {
+            if let Some(call) = sends(&bench.hand_in(1, 0, 1)).first() {
+                sent += 1;
+                bench.now += 100 * MS;
+                bench.step(&[Event::Hangup { id: call.0 }]);
+                bench.end(call.0, Outcome::Ok);
+            }
+        }
+        assert!(calls.contains(&sent), "{sent} calls of one in a fleet of {fleet_size}");
+    }
+}
