Ask for the list sooner at first: within 50 ms for each forwarder of the fleet

Doubling after each failure is what keeps discovery from being overrun; a fixed pause is still as bad.

Line at fault: FOLLOW_SHARE in crates/node/src/reducer/mod.rs.

--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -38,8 +38,9 @@
 /// What a deferred client is told where the journal has no room: about when some messages will have ended.
 const NO_ROOM_PAUSE: Micros = SECOND;
 /// The list is asked for within so long for each forwarder of the fleet, at a start and when a watch is lost: a fleet
-/// started together, or cut off together, asks about five times a second. The bound doubles with each failure.
-const FOLLOW_SHARE: Micros = 200_000;
+/// started together, or cut off together, asks about twenty times a second at first. The bound doubles with each
+/// failure, so discovery that serves fewer is asked less until it serves.
+const FOLLOW_SHARE: Micros = 50_000;
 /// A fleet of one asks again within this.
 const FOLLOW_AGAIN: Micros = 250_000;
 /// Without the list for so many times the time allowed between calls, a forwarder asks again all the same.
