Read what a watch's last answer says though its connection closes with it

Need: the issue asks for a stated and tested result of a discovery that answers 429 or 503, half a list or nothing. The new test failed at once on 429: the watch was reported as ended in good order.

Cause: `watch` in crates/node/src/discovery.rs took the end of the connection, or the end of the answer, whichever came first; where both come in one poll the answer was never looked at. A refusal was logged as "it ended", and news written just before a close could be lost.

Change: after the connection's end what it brought is still read.

--- a/crates/core/src/dice.rs
+++ b/crates/core/src/dice.rs
@@ -1,4 +1,4 @@
-//! The decisions' only source of chance.
+//! Chance that follows from a seed: the only source of it.
 
 use crate::interface::Micros;
 
--- a/crates/node/src/backoff.rs
+++ b/crates/node/src/backoff.rs
@@ -1,5 +1,6 @@
 //! Pauses between tries of something that many forwarders may lose in the same moment.
 
+use orchidyoke_core::dice::Dice;
 use orchidyoke_core::interface::Micros;
 
 /// Capped exponential back-off with full jitter: each pause is drawn between nothing and a bound that doubles with
@@ -7,7 +8,7 @@
 /// less they ask.
 #[derive(Debug)]
 pub struct Backoff {
-    dice: fastrand::Rng,
+    dice: Dice,
     first: Micros,
     most: Micros,
     failures: u32,
@@ -16,7 +17,7 @@
 impl Backoff {
     /// The first bound and the last, with chance from `seed`.
     pub fn new(first: Micros, most: Micros, seed: u64) -> Self {
-        Backoff { dice: fastrand::Rng::with_seed(seed), first, most: most.max(first), failures: 0 }
+        Backoff { dice: Dice::new(seed), first, most: most.max(first), failures: 0 }
     }
 
     /// Other bounds.
@@ -33,7 +34,7 @@
 
     /// A span between nothing and the bound.
     pub fn within(&mut self, bound: Micros) -> Micros {
-        (bound as f64 * self.dice.f64()) as Micros
+        (bound as f64 * self.dice.part()) as Micros
     }
 
     /// After a success: the next failure is the first again.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -73,10 +73,12 @@
             take_lines(&mut buffer, |news| teller.tell(news))?;
         }
     };
+    tokio::pin!(lines);
     tokio::select! {
         biased;
-        ended = lines => ended,
-        ended = connection => ended.map_err(broken),
+        ended = &mut lines => ended,
+        // It may close in the moment in which its answer comes: what that says still counts.
+        _ = connection => lines.await,
     }
 }
 
@@ -119,4 +121,34 @@
         assert_eq!((revs, buffer.len()), (vec![1, 2], 0));
         assert!(take_lines(&mut b"{]\n".to_vec(), |_| ()).is_err());
     }
+
+    // Guards against a refusal, half a list or an answer of nothing that is taken for a list, or that hangs the watch.
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_bad_answer_ends_the_watch_and_tells_nothing() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let half = line(7, true, "s1", "in_service");
+        let half = &half[..half.len() / 2];
+        let listed = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", half.len());
+        for (answer, why) in [
+            ("HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n", "429"),
+            ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "503"),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "it ended"),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n", "no list"),
+            (listed.as_str(), "it ended"),
+            ("", "broke"),
+        ] {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let at = listener.local_addr().expect("its address");
+            let (inputs, mut came) = tokio::sync::mpsc::unbounded_channel();
+            let served = async {
+                let (mut stream, _) = listener.accept().await.expect("a watch");
+                let read = stream.read(&mut [0; 1024]).await.expect("its request");
+                assert!(read > 0);
+                stream.write_all(answer.as_bytes()).await.expect("answered");
+            };
+            let (ended, ()) = tokio::join!(follow(at, 0, Teller::new(1, inputs)), served);
+            assert!(ended.contains(why), "{answer:?}: {ended}");
+            assert!(came.try_recv().is_err(), "{answer:?} is no list");
+        }
+    }
 }
