--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -60,9 +60,9 @@
 /// First pause before the list is asked for again, doubled up to a quarter of the time allowed.
 const ASK_FIRST: Micros = 500_000;
 
-/// Below one call in flight a route is paced, in even parts of the limit told; it saves up two calls. A refusal
-/// takes a quarter; it grows back by half a second to a part and more: in a fleet of a few one may have nearly all
-/// that there is to send, in a large one they are more alike.
+/// Below one call in flight a route is paced, in even parts of the limit told, and saves up two calls.
+/// A refusal takes a quarter; it grows back by half a second to a part and more: in a fleet of a few one
+/// may have nearly all that there is to send, in a large one they are more alike.
 const PACE_DEPTH: f64 = 2.0;
 const PACE_SHRINK: f64 = 0.75;
 const PACE_LEAST: f64 = 0.25;
@@ -233,7 +233,7 @@
         Some(told / f64::from(set.fleet_size.max(1))).filter(|even| *even > 0.0)
     }
 
-    /// Calls a second where its even part is under one in flight: all windows at their floor would exceed the limit.
+    /// Calls a second where its even part is under one in flight: all windows at their floor would be more.
     fn paced(&self, set: &Settings) -> Option<f64> {
         let floors = |even: &f64| set.fleet_size > 1 && even * self.usual < SECOND as f64;
         self.even_part(set).filter(floors).map(|even| even * self.pace)
