Heed a time to come back in discovery's refusal, and spread the fleet after it

Need: discovery that is overbooked may answer 429 or 503 with Retry-After; its status was read since, the time was not, and a whole fleet told the same would have to come one by one after it. Change: follow() hands on the milliseconds told (Retry-After in seconds or as a date, X-Come-Back-Ms as partners tell it), Input::MapLost carries them, and the reducer waits for them, at most as long as its longest pause, before the drawn pause of the back-off. The reading of a wait stands in one place, told_wait.rs; what is not finite tells none. Tests: the forms and what cannot be read; a refusal over a socket; a hundred reducers told 7 s come between 7 and 12 s, at most 32 in a second; a huge time is cut to the longest pause.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,14 +1,15 @@
 //! The watch that follows discovery's list of endpoints.
 
 use crate::source::Teller;
+use crate::told_wait;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use orchidyoke_core::transport_map::News;
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -23,6 +24,8 @@
 enum WatchError {
     Silent,
     Broken(String),
+    /// Its status, and how many milliseconds it says to wait.
+    Refused(StatusCode, u64),
     Unreadable(String),
 }
 
@@ -31,6 +34,10 @@
         match self {
             WatchError::Silent => f.write_str("discovery is silent"),
             WatchError::Broken(why) => write!(f, "the watch broke: {why}"),
+            WatchError::Refused(status, 0) => write!(f, "discovery answered {status}"),
+            WatchError::Refused(status, wait) => {
+                write!(f, "discovery answered {status}, and to wait {wait} ms")
+            }
             WatchError::Unreadable(why) => write!(f, "discovery sent what is no list: {why}"),
         }
     }
@@ -40,11 +47,15 @@
     WatchError::Broken(error.to_string())
 }
 
-/// Follows the list from a version on until the watch ends; whoever asked may ask again.
-pub async fn follow(discovery: SocketAddr, since: u64, teller: Teller) -> String {
+/// Follows the list from a version on until the watch ends; whoever asked may ask again, after the milliseconds that
+/// discovery says to wait.
+pub async fn follow(discovery: SocketAddr, since: u64, teller: Teller) -> (String, u64) {
     match watch(discovery, since, &teller).await {
-        Ok(()) => "it ended".to_owned(),
-        Err(error) => error.to_string(),
+        Ok(()) => ("it ended".to_owned(), 0),
+        Err(error) => {
+            let wait = if let WatchError::Refused(_, wait) = error { wait } else { 0 };
+            (error.to_string(), wait)
+        }
     }
 }
 
@@ -60,8 +71,9 @@
     let lines = async {
         let answer = timeout(SILENCE, sender.send_request(request)).await.map_err(|_| WatchError::Silent)?;
         let answer = answer.map_err(broken)?;
-        if answer.status() != hyper::StatusCode::OK {
-            return Err(WatchError::Broken(format!("answered {}", answer.status())));
+        if answer.status() != StatusCode::OK {
+            let wait = told_wait::retry_after(answer.headers(), SystemTime::now());
+            return Err(WatchError::Refused(answer.status(), wait));
         }
         let mut body = answer.into_body();
         let mut buffer = Vec::new();
@@ -129,13 +141,19 @@
         let half = line(7, true, "s1", "in_service");
         let half = &half[..half.len() / 2];
         let listed = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", half.len());
-        for (answer, why) in [
-            ("HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n", "429"),
-            ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "503"),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "it ended"),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n", "no list"),
-            (listed.as_str(), "it ended"),
-            ("", "broke"),
+        for (answer, why, wait) in [
+            ("HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n", "429", 0),
+            ("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", "429", 2000),
+            ("HTTP/1.1 503 Service Unavailable\r\nRetry-After: never\r\nContent-Length: 0\r\n\r\n", "503", 0),
+            (
+                "HTTP/1.1 503 Service Unavailable\r\nX-Come-Back-Ms: 700\r\nContent-Length: 0\r\n\r\n",
+                "503",
+                700,
+            ),
+            ("HTTP/1.1 200 OK\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", "it ended", 0),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n", "no list", 0),
+            (listed.as_str(), "it ended", 0),
+            ("", "broke", 0),
         ] {
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let at = listener.local_addr().expect("its address");
@@ -147,7 +165,8 @@
                 stream.write_all(answer.as_bytes()).await.expect("answered");
             };
             let (ended, ()) = tokio::join!(follow(at, 0, Teller::new(1, inputs)), served);
-            assert!(ended.contains(why), "{answer:?}: {ended}");
+            assert!(ended.0.contains(why), "{answer:?}: {ended:?}");
+            assert_eq!(ended.1, wait, "{answer:?}");
             assert!(came.try_recv().is_err(), "{answer:?} is no list");
         }
     }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -115,6 +115,8 @@
         watch: WatchId,
         /// Why, for the log.
         why: String,
+        /// How long discovery says to wait before it is asked again; 0 where it says nothing.
+        wait_ms: u64,
     },
     /// The post of notices was answered.
     Posted {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod serve;
 pub mod shutdown;
 pub mod source;
+mod told_wait;
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -3,6 +3,7 @@
 use super::hop_call::{Call, Cause, HopError, Progress, Reply};
 use super::pool::LinkId;
 use crate::input::Input;
+use crate::told_wait;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -375,7 +376,7 @@
     let (parts, body) = answer.into_parts();
     let reply = Reply {
         status: parts.status.as_u16(),
-        wait_ms: text(&parts.headers, "X-Come-Back-Ms").map_or(0, milliseconds),
+        wait_ms: told_wait::come_back(&parts.headers),
         line_busy: text(&parts.headers, "X-Line-Busy") == Some("1"),
         limit: report(&parts.headers, "x1"),
         left: report(&parts.headers, "x0"),
@@ -385,11 +386,6 @@
     (reply, body)
 }
 
-/// Whole or decimal; a wait that is not kept for want of a digit is a broken rule.
-fn milliseconds(text: &str) -> u64 {
-    text.trim().parse::<f64>().map_or(0, |wait| wait.ceil() as u64)
-}
-
 /// What is no number, or none that can be counted with, is passed over.
 fn number(text: &str) -> Option<f64> {
     text.trim().parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
@@ -413,13 +409,6 @@
     use tokio::net::TcpListener;
     use tokio::sync::mpsc::unbounded_channel;
 
-    // Guards against a wait that is passed over because of the form of its number.
-    #[test]
-    fn a_wait_is_read_whole_or_decimal() {
-        let cases = [("250", 250), (" 250.2 ", 251), ("0", 0), ("-5", 0), ("soon", 0), ("NaN", 0), ("", 0)];
-        assert!(cases.iter().all(|(text, wait)| milliseconds(text) == *wait));
-    }
-
     /// Carries calls on one connection to a far end that gives one answer to the first and holds the connection
     /// open. What comes of the first, and whether a second on the same connection is taken for answered.
     async fn call(answer: &'static [u8], goes_on: bool, bulk: bool) -> (Input, bool) {
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -220,12 +220,16 @@
                 self.append(&[(&record, b"")], None);
                 self.take_list(&news, form);
             }
-            Input::MapLost { watch, why } if watch == self.watch => {
+            Input::MapLost { watch, why, wait_ms } if watch == self.watch => {
                 self.log(format!("transport map: {why}; the last list stays in use"));
                 if now - self.followed_since >= FOLLOWED {
                     self.follow_pause.reset();
                 }
-                (self.following, self.follow_at) = (false, now + self.follow_pause.pause());
+                // After a wait that was told, those who were told the same still come one by one. One far beyond the
+                // pauses of a long failure is cut to them: a slip there would leave the forwarder with an old list.
+                let (_, most) = follow_pauses(&self.settings);
+                let told = Micros::try_from(wait_ms).unwrap_or(Micros::MAX).saturating_mul(1000).min(most);
+                (self.following, self.follow_at) = (false, now + told + self.follow_pause.pause());
             }
             // A watch before this one, that told more or ended as it was left.
             Input::News { .. } | Input::MapLost { .. } => {}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -106,12 +106,12 @@
         self.watch.iter().for_each(AbortHandle::abort);
         let (inputs, teller) = (self.inputs.clone(), Teller::new(watch, self.inputs.clone()));
         let task = spawn_local(async move {
-            let why = match from {
+            let (why, wait_ms) = match from {
                 Following::Discovery { at, since } => discovery::follow(at, since, teller).await,
-                Following::Catalogue { catalogue, held } => catalogue.follow(held, teller).await,
+                Following::Catalogue { catalogue, held } => (catalogue.follow(held, teller).await, 0),
             };
             // The receiver is gone only when the forwarder ends.
-            let _ = inputs.send(Input::MapLost { watch, why });
+            let _ = inputs.send(Input::MapLost { watch, why, wait_ms });
         });
         self.watch = Some(task.abort_handle());
     }
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -561,7 +561,7 @@
 fn a_lost_discovery_is_asked_again_and_its_list_stays_in_use() {
     let mut world = World::new();
     world.step(0, Step::List { which: 3, state: State::Terminating });
-    world.input(Input::MapLost { watch: 1, why: "silent".to_owned() });
+    world.input(Input::MapLost { watch: 1, why: "silent".to_owned(), wait_ms: 0 });
     world.hand_in("x".to_owned(), false, 2, 10);
     world.wait(S);
     assert_eq!(
@@ -587,6 +587,8 @@
     world.answer(0, 0);
     world.hand_in("next".to_owned(), true, 1, 10);
     world.wait(10_000);
+    // To either of its endpoints.
+    world.step(0, Step::Connect { which: 0, up: true });
     assert!(world.pick(0, |l| l.call.is_some()).is_some(), "sent at once, as to a healthy destination");
 }
 
@@ -601,7 +603,7 @@
         common::config("127.0.0.1:1", "127.0.0.1:3", Vec::new()).replace("\"slots\":6", "\"slots\":12");
     world.input(Input::Reconfigured(Box::new(Config::read(&text, None, None).expect("a configuration"))));
     assert_eq!(world.follows, [(1, 2, 1), (2, 3, 1)]);
-    world.input(Input::MapLost { watch: 1, why: "it ended".to_owned() });
+    world.input(Input::MapLost { watch: 1, why: "it ended".to_owned(), wait_ms: 0 });
     world.wait(S / 2);
     assert_eq!(world.follows.len(), 2, "nothing is asked again for the old one's end");
     world.step(0, Step::Connect { which: 0, up: true });
@@ -736,7 +738,7 @@
         origin: origin.to_owned(),
     };
     world.input(Input::News { watch: first, news: gone("") });
-    world.input(Input::MapLost { watch: first, why: "left".to_owned() });
+    world.input(Input::MapLost { watch: first, why: "left".to_owned(), wait_ms: 0 });
     world.hand_in("a".to_owned(), false, 2, 10);
     world.wait(10_000);
     assert!(world.pick(0, |l| !l.up).is_some(), "the list is as it was");
@@ -781,10 +783,11 @@
     assert_eq!((held[0].targets.len(), uids), (4, vec!["n1/web-0", "s-a", "s-b", "s-c"]));
 }
 
-/// When each of a fleet asks for its list: at the start, and after its first watch was lost in the same moment.
-fn fleet_asks(size: u32) -> (Vec<Micros>, Vec<Micros>) {
+/// When each of a fleet asks for its list: at the start, and after its first watch was lost in the same moment, with
+/// a wait told.
+fn fleet_asks(size: u32, wait_ms: u64) -> (Vec<Micros>, Vec<Micros>) {
     let asks = |reducer: &mut Reducer, from: Micros| {
-        let at = (0..600).map(|n| from + n * S / 10).find(|now| {
+        let at = (0..2000).map(|n| from + n * S / 10).find(|now| {
             let effects = reducer.step(*now, Input::Alarm);
             effects.iter().any(|effect| matches!(effect, Effect::Follow { .. }))
         });
@@ -799,7 +802,7 @@
         let mut reducer = Reducer::new(config, Vec::new(), 0, START);
         let first = asks(&mut reducer, START);
         let lost = START + 60 * S;
-        reducer.step(lost, Input::MapLost { watch: 1, why: "it ended".to_owned() });
+        reducer.step(lost, Input::MapLost { watch: 1, why: "it ended".to_owned(), wait_ms });
         (first, asks(&mut reducer, lost))
     };
     (0..size).map(one).unzip()
@@ -809,12 +812,28 @@
 // then answers nobody in time; and against a lone forwarder that waits for others.
 #[test]
 fn a_large_fleet_asks_for_its_list_in_turn() {
-    let (starts, agains) = fleet_asks(100);
+    let (starts, agains) = fleet_asks(100, 0);
     for (what, asks) in [("at the start", starts), ("after the loss", agains)] {
         let busiest = (0..5).map(|second| asks.iter().filter(|at| **at / S == second).count()).max();
         assert!(busiest <= Some(32), "{what}: {busiest:?} in one second");
         assert!(asks.iter().all(|at| *at <= 5 * S), "{what}: within its share of the fleet's time");
     }
-    assert_eq!(fleet_asks(1).0, [0]);
-    assert!(fleet_asks(3).1.iter().all(|at| *at <= 7 * S / 10), "a small fleet is back at once");
+    assert_eq!(fleet_asks(1, 0).0, [0]);
+    assert!(fleet_asks(3, 0).1.iter().all(|at| *at <= 7 * S / 10), "a small fleet is back at once");
+}
+
+// Guards against a refusal of discovery whose time to come back is not heeded, or after which the whole fleet comes
+// in the same moment; and against a slip in it that leaves a forwarder with an old list for good.
+#[test]
+fn a_fleet_told_to_wait_for_its_list_comes_after_that_and_in_turn() {
+    let (_, agains) = fleet_asks(100, 7000);
+    assert!(agains.iter().all(|at| (7 * S..=12 * S).contains(at)), "{agains:?}");
+    let busiest = (7..12).map(|second| agains.iter().filter(|at| **at / S == second).count()).max();
+    assert!(busiest <= Some(32), "{busiest:?} in one second");
+    for wait in [u64::MAX, u64::MAX / 1000, 1 << 40] {
+        assert!(
+            fleet_asks(1, wait).1.iter().all(|at| (40 * S..41 * S).contains(at)),
+            "cut to the longest pause"
+        );
+    }
 }
