Save up calls by the size of the fleet, draw what a start has, and heed refusals more

Cause: a call that each forwarder has saved up is a hundred calls, 6 s of a limit of 16. Lines at fault: Bucket::starting(1.0) in Route::new, PACE_DEPTH 2 whatever the size of the fleet. Change: a bucket holds 1 + 8/n calls (the figure that bounds the pace already) and starts with a drawn part of one call less; a refusal takes two fifths of the pace, a quarter before.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -60,11 +60,11 @@
 /// First pause before the list is asked for again, doubled up to a quarter of the time allowed.
 const ASK_FIRST: Micros = 500_000;
 
-/// Below one call in flight a route is paced, in even parts of the limit told, and saves up two calls.
-/// A refusal takes a quarter; it grows back by half a second to a part and more: in a fleet of a few one
-/// may have nearly all that there is to send, in a large one they are more alike.
-const PACE_DEPTH: f64 = 2.0;
-const PACE_SHRINK: f64 = 0.75;
+/// Below one call in flight a route is paced, in even parts of the limit told. A refusal takes two fifths;
+/// it grows back by half a second to one part and so many more, shared out among the fleet, and as many
+/// calls are saved up: of a few forwarders one may have nearly all that there is to send, hundreds are more
+/// alike, and what one of them saves up all do.
+const PACE_SHRINK: f64 = 0.6;
 const PACE_LEAST: f64 = 0.25;
 const PACE_GROW: f64 = 1.5;
 const PACE_FLEET: f64 = 8.0;
@@ -148,7 +148,7 @@
     Warming(Micros),
 }
 
-/// The window of one route (a destination, or one endpoint where they are apart) and its health.
+/// One route (a destination, or an endpoint where they are apart): window, pace, health.
 #[derive(Debug, Default)]
 struct Route {
     window: f64,
@@ -187,9 +187,9 @@
 }
 
 impl Route {
-    fn new(now: Micros) -> Self {
+    fn new(now: Micros, saved: f64) -> Self {
         let (usual, deviation) = (UNKNOWN_USUAL, UNKNOWN_USUAL / 2.0);
-        let (served, bucket) = (Count::starting(1.0, now), Bucket::starting(1.0, now));
+        let (served, bucket) = (Count::starting(1.0, now), Bucket::starting(saved, now));
         Route { window: 1.0, pace: 1.0, bucket, usual, deviation, served, ..Route::default() }
     }
 
@@ -241,9 +241,9 @@
 
     fn pay(&mut self, now: Micros, set: &Settings, calls: f64) {
         let Some(rate) = self.paced(set) else { return };
-        let most = 1.0 + PACE_FLEET / f64::from(set.fleet_size);
+        let most = most_parts(set);
         self.pace = (self.pace * PACE_GROW.powf(self.bucket.age(now))).min(most);
-        self.bucket.take(now, rate, PACE_DEPTH, calls);
+        self.bucket.take(now, rate, most, calls);
     }
 
     /// Present capacity that the route is sure to have, as a part of its own; none where nothing binds.
@@ -449,7 +449,8 @@
     /// A new endpoint with no other beside it starts anew: what those before it did is not its doing.
     /// Two things are the destination's own: a wait that it told, and that it comes back cold.
     fn new_route(&mut self, before: Option<RouteId>) -> RouteId {
-        let mut new = Route::new(self.now);
+        // A large fleet that starts together does not send its first calls together.
+        let mut new = Route::new(self.now, most_parts(&self.set) - self.dice.part());
         if let Some(before) = before.map(|route| &self.routes[route]) {
             new.wait_until = before.wait_until;
             new.health = if before.health == Health::Good { Health::Good } else { Health::Warming(self.now) };
@@ -716,8 +717,7 @@
             (route.gap, route.pause_until) = (0.0, 0);
             route.served.add(self.now);
             // A call sent before the last push-back tells nothing of the time after it, unless it took long.
-            let since = |last| sent >= last || self.now - last >= self.set.tip_after;
-            if route.pushed.is_none_or(|(_, last)| since(last)) {
+            if route.pushed.is_none_or(|(_, last)| sent >= last || self.now - last >= self.set.tip_after) {
                 let cold = route.sure_part(self.now, &self.set).is_some();
                 let back = route.health == Health::Out || cold && route.pushed.is_some();
                 (route.streak, route.timeouts, route.failing, route.last_ok) = (0, 0, false, self.now);
@@ -732,7 +732,8 @@
         route.pushed = Some((route.pushed.map_or(self.now, |(first, _)| first), self.now));
         if outcome == Outcome::Full && route.health == Health::Good {
             // What was saved up is gone, and those refused together do not come back together.
-            let saved = route.paced(&self.set).map_or(0.0, |r| route.bucket.room(self.now, r, PACE_DEPTH));
+            let saved = |rate| route.bucket.room(self.now, rate, most_parts(&self.set));
+            let saved = route.paced(&self.set).map_or(0.0, saved);
             route.pay(self.now, &self.set, saved.max(0.0) + self.dice.part());
             route.pace = (route.pace * PACE_SHRINK).max(PACE_LEAST);
         }
@@ -1011,14 +1012,8 @@
         route.sends.drain(..old);
         self.next_call += 1;
         self.call_wakes.insert((self.now + route.overdue_after(), self.next_call));
-        let call = Call {
-            endpoint,
-            route: place.route,
-            sent: self.now,
-            open: going.len(),
-            clean,
-            ..Call::default()
-        };
+        let open = going.len();
+        let call = Call { endpoint, route: place.route, sent: self.now, open, clean, ..Call::default() };
         self.calls.insert(self.next_call, call);
     }
 
@@ -1044,6 +1039,11 @@
     class.worth * (1.0 - class.late_share)
 }
 
+/// Even parts of a limit that a route is paced at, and calls that it saves up, at most.
+fn most_parts(set: &Settings) -> f64 {
+    1.0 + PACE_FLEET / f64::from(set.fleet_size.max(1))
+}
+
 /// One for what is so, else nothing.
 fn part(so: bool) -> f64 {
     f64::from(u8::from(so))
