Test that a paced fleet does not push over a partner that returns cold

Need: a crowd test of the return was there for refusals without a limit told, not for the pace, which also saves up. No decision changed.

--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -1195,6 +1195,79 @@
     assert!((0..20).any(|run| first_second(|_| run, 0) == 0));
 }
 
+/// A hundred forwarders that share a limit of 60 calls a second and are asked for nine tenths of it see the partner
+/// go down at 20 s with `fault` and come back cold after `lasts`; each is told of a fleet of `told`. The largest
+/// part of what a cold partner bears that any two seconds after the return used, and how many calls were served in
+/// the ten seconds after it has warmed.
+fn return_under_pace(told: u32, fault: Outcome, lasts: Micros, seed: u64) -> (f64, usize) {
+    const LIMIT: f64 = 60.0;
+    let set = Settings { fleet_size: told, slots: 4, ..settings() };
+    let place = Entry { weight: LIMIT, ..entry(1, 1, 0, 0) };
+    let new = |n: u64| {
+        let mut one = Bench::new(set.clone(), &[]);
+        one.controller = Controller::new(set.clone(), seed * 1000 + n);
+        one.list(ListForm::Whole, &[place]);
+        (one, Vec::<(Micros, MessageId)>::new())
+    };
+    let mut fleet: Vec<_> = (0..100).map(new).collect();
+    let (mut chance, start, step) = (fastrand::Rng::with_seed(seed), fleet[0].0.now, 20 * MS);
+    let (down, back, warm) = (20 * S, 20 * S + lasts, 20 * S + lasts + set.warm_within);
+    let (mut calls, mut served) = (Vec::new(), 0);
+    for at in (step..warm + 10 * S).step_by(step as usize) {
+        for (one, out) in &mut fleet {
+            one.now = start + at;
+            let fails = (down..back).contains(&at);
+            let mut events = Vec::new();
+            out.retain(|(sent, id)| {
+                let over =
+                    at - sent >= if fails && fault == Outcome::ConnectFailed { step } else { 5 * step };
+                if over {
+                    let outcome = if fails { fault } else { Outcome::Ok };
+                    served += usize::from(at >= warm && outcome == Outcome::Ok);
+                    events.push(Event::Outcome(one.answer(*id, outcome)));
+                }
+                !over
+            });
+            if chance.f64() < 0.9 * LIMIT / 100.0 * step as f64 / S as f64 {
+                events.push(one.message(1, 0));
+            }
+            events.push(Event::Timer { token: u64::MAX });
+            let sent = sends(&one.step(&events));
+            out.extend(sent.iter().map(|call| (at, call.0)));
+            calls.extend(sent.iter().map(|_| at));
+        }
+    }
+    let used = |from: &Micros| {
+        let sent = calls.iter().filter(|at| (*from..from + 2 * S).contains(*at)).count() as f64;
+        let risen = (from + 2 * S - back) as f64 / set.warm_within as f64;
+        let present = LIMIT * (set.cold_from + (1.0 - set.cold_from) * risen.min(1.0));
+        let bears = set.fall_multiple * present * 2.0;
+        // Three standard deviations are for chance.
+        sent / (bears + 3.0 * bears.sqrt())
+    };
+    let spans = calls.iter().filter(|at| (back..back + 8 * S).contains(*at));
+    (spans.map(used).fold(0.0, f64::max), served)
+}
+
+#[test]
+fn a_paced_fleet_does_not_push_over_a_partner_that_returns_cold() {
+    // Guards against a hundred that have each one call saved up, or a backlog, when a partner comes back: what one
+    // forwarder alone may send is too much a hundred times. Nothing stays shut either.
+    for (seed, fault, lasts) in [
+        (1, Outcome::ConnectFailed, 5 * S),
+        (2, Outcome::ConnectFailed, 12 * S),
+        (3, Outcome::Error, 5 * S),
+        (4, Outcome::Reset, 12 * S),
+    ] {
+        let (used, served) = return_under_pace(100, fault, lasts, seed);
+        assert!(used <= 1.0, "{fault:?} for {lasts}: {used:.2} of what a cold partner bears");
+        assert!(served >= 400, "{fault:?} for {lasts}: {served} of 540 served once it is warm");
+        // Each for itself alone: the same fleet must do worse.
+        let (alone, _) = return_under_pace(1, fault, lasts, seed);
+        assert!(alone > 1.0, "{fault:?} for {lasts}: {alone:.2} by forwarders that know of no fleet");
+    }
+}
+
 #[test]
 fn of_late_messages_the_one_that_has_lost_least_goes_first() {
     // Guards against a queue that spends what a limit still allows on its oldest messages, worth least.
