Keep pauses after refusals to the cold part of a limit that is told, not two lives

After an outage of five seconds forwarders stayed away for seconds from a partner that was back. Lines at fault: the clamp of route.gap in judge.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -55,7 +55,6 @@
 const LOAD_COST: f64 = 0.01;
 /// Points that chance weighs there in a large fleet, and the fleet in which it weighs half: hundreds that see
 /// the same fees would else send to the same endpoint while its sisters stand idle; a few mind their windows.
-/// So it is with what those told the same wait add to it.
 const SPREAD_COST: f64 = 0.05;
 const SPREAD_FLEET: f64 = 16.0;
 /// First pause before the list is asked for again, doubled up to a quarter of the time allowed.
@@ -744,11 +743,12 @@
             // Halving goes on below one call: the next is drawn from a span, so a fleet pushed back together
             // does not return together, and refused calls leave a limit for others. From the second push-back
             // on the span keeps to this forwarder's part of a cold budget (`budget`); after the first it is
-            // half that. Two message lives at most: nothing starves. It hurts where an overload has ended.
+            // half that. Twice that span is enough where a limit is told; else it is two message lives.
             let life = self.set.classes.iter().map(|c| c.deadline).fold(PAUSE_FIRST, Micros::max) as f64;
             let cold = (BUDGET_SHARE / SHRINK * self.set.fall_multiple * self.set.cold_from).clamp(0.1, 1.0);
             let least = (SECOND as f64 / cold / route.share(self.now, &self.set).max(1e-3)).min(life);
-            route.gap = (route.gap / SHRINK).clamp(least, 2.0 * life);
+            let most = if route.paced(&self.set).is_some() { 4.0 * least } else { 2.0 * life };
+            route.gap = (route.gap / SHRINK).clamp(least, most);
             route.pause_until = self.now + (self.dice.part() * route.gap) as Micros;
         } else if outcome != Outcome::Timeout {
             let pause = (PAUSE_FIRST << (route.streak.saturating_sub(1)).min(8)).min(PAUSE_LAST);
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -749,6 +749,41 @@
     assert_eq!(sends(&bench.later(400 * MS)).len(), 1);
 }
 
+#[test]
+fn pauses_keep_to_the_part_of_a_limit_that_is_told() {
+    // Guards against spans that double up to two message lives where the limit says how long is enough: a hundred
+    // stayed away for seconds from a partner that was back. At 0.3 to 0.6 calls a second that each may be sure of,
+    // and 0.64 of that to a cold partner, 4 x 1 s / 0.19 and two calls' own time are the most.
+    let set = Settings { fleet_size: 100, connect_timeout: S, ..settings() };
+    let told = Entry { weight: 60.0, ..entry(1, 1, 0, 0) };
+    let (mut longest, mut shortest) = (0, 100 * S);
+    for seed in 0..60 {
+        let mut one = Bench::new(set.clone(), &[]);
+        one.controller = Controller::new(set.clone(), seed);
+        one.list(ListForm::Whole, &[told]);
+        for refusal in 0..6 {
+            let mut sent = sends(&one.hand_in(1, 0, 1));
+            let asked = one.now;
+            while sent.is_empty() {
+                sent = sends(&one.later(20 * MS));
+                if (one.now - asked) % S == 0 {
+                    sent.extend(sends(&one.hand_in(1, 0, 1)));
+                }
+            }
+            if refusal >= 4 {
+                longest = longest.max(one.now - asked);
+                shortest = shortest.min(one.now - asked);
+            }
+            one.now += 20 * MS;
+            let refused = Answer { took: 20 * MS, ..one.answer(sent[0].0, Outcome::ConnectFailed) };
+            one.step(&[Event::Outcome(refused)]);
+            one.step(&[Event::Hangup { id: sent[0].0 }]);
+        }
+    }
+    assert!(longest <= 21 * S, "{longest}");
+    assert!(shortest < 3 * S && longest > 8 * S, "and spread: {shortest} to {longest}");
+}
+
 /// A fleet with a call out each, all refused in the same moment with the same wait: how many calls it makes in the
 /// first 20 ms after the wait, and in the second after it; its limit lets each have several out.
 fn calls_after_a_told_wait(fleet_size: u32, seed: u64) -> (usize, usize) {
@@ -1318,6 +1353,8 @@
         (2, Outcome::ConnectFailed, 12 * S),
         (3, Outcome::Error, 5 * S),
         (4, Outcome::Reset, 12 * S),
+        (5, Outcome::Full, 5 * S),
+        (6, Outcome::Full, 15 * S),
     ] {
         let (used, served) = return_under_pace(100, fault, lasts, seed);
         assert!(used <= 1.0, "{fault:?} for {lasts}: {used:.2} of what a cold partner bears");
