--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -140,21 +140,19 @@
         use tokio::io::{AsyncReadExt, AsyncWriteExt};
         let half = line(7, true, "s1", "in_service");
         let half = &half[..half.len() / 2];
-        let listed = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", half.len());
-        for (answer, why, wait) in [
-            ("HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n", "429", 0),
-            ("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", "429", 2000),
-            ("HTTP/1.1 503 Service Unavailable\r\nRetry-After: never\r\nContent-Length: 0\r\n\r\n", "503", 0),
-            (
-                "HTTP/1.1 503 Service Unavailable\r\nX-Come-Back-Ms: 700\r\nContent-Length: 0\r\n\r\n",
-                "503",
-                700,
-            ),
-            ("HTTP/1.1 200 OK\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", "it ended", 0),
-            ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n", "no list", 0),
-            (listed.as_str(), "it ended", 0),
-            ("", "broke", 0),
+        for (status, told, body, why, wait) in [
+            ("429 Too Many Requests", "", "", "429", 0),
+            ("429 Too Many Requests", "Retry-After: 2\r\n", "", "429", 2000),
+            ("503 Service Unavailable", "", "", "503", 0),
+            ("503 Service Unavailable", "Retry-After: never\r\n", "", "503", 0),
+            ("503 Service Unavailable", "X-Come-Back-Ms: 700\r\n", "", "503", 700),
+            ("200 OK", "Retry-After: 2\r\n", "", "it ended", 0),
+            ("200 OK", "", "{]\n", "no list", 0),
+            ("200 OK", "", half, "it ended", 0),
+            ("", "", "", "broke", 0),
         ] {
+            let answer = format!("HTTP/1.1 {status}\r\n{told}Content-Length: {}\r\n\r\n{body}", body.len());
+            let answer = if status.is_empty() { String::new() } else { answer };
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let at = listener.local_addr().expect("its address");
             let (inputs, mut came) = tokio::sync::mpsc::unbounded_channel();
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -3,7 +3,7 @@
 use super::hop_call::{Call, Cause, HopError, Progress, Reply};
 use super::pool::LinkId;
 use crate::input::Input;
-use crate::told_wait;
+use crate::told_wait::{come_back, text};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -376,7 +376,7 @@
     let (parts, body) = answer.into_parts();
     let reply = Reply {
         status: parts.status.as_u16(),
-        wait_ms: told_wait::come_back(&parts.headers),
+        wait_ms: come_back(&parts.headers),
         line_busy: text(&parts.headers, "X-Line-Busy") == Some("1"),
         limit: report(&parts.headers, "x1"),
         left: report(&parts.headers, "x0"),
@@ -391,10 +391,6 @@
     text.trim().parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 fn report(headers: &HeaderMap, field: &str) -> Option<f64> {
     let pairs = text(headers, "X-Pressure")?.split(',').filter_map(|pair| pair.split_once('='));
     pairs.filter(|(name, _)| name.trim() == field).find_map(|(_, value)| number(value))
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -4,6 +4,7 @@
 use crate::hop_call::{self, Call, HopError, Part, Reply};
 use crate::input::Effect;
 use crate::pool::{CallId, Claim, LinkId};
+use crate::told_wait;
 use orchidyoke_core::interface::{Answer, EndpointId, Event, MessageId, Micros, Outcome};
 use orchidyoke_core::transport_map::State;
 use orchidyoke_journal::{Record, Trace, Verdict};
@@ -152,7 +153,7 @@
             self.pool.release(link, now);
         }
         let Some(flight) = call.and_then(|call| self.flights.remove(&call)) else { return };
-        let wait = Micros::try_from(reply.wait_ms).unwrap_or(Micros::MAX / 2000).saturating_mul(1000);
+        let wait = told_wait::micros(reply.wait_ms);
         if wait > 0
             && let Some(hop) = self.hops.get(&flight.hop)
         {
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -17,6 +17,7 @@
 use crate::input::{DoorAnswer, Effect, Input, Receipt, Ticket, WatchId};
 use crate::pool::{CallId, Pool};
 use crate::source::Catalogue;
+use crate::told_wait;
 use attempts::Flight;
 use hops::Hop;
 use messages::Message;
@@ -228,7 +229,7 @@
                 // After a wait that was told, those who were told the same still come one by one. One far beyond the
                 // pauses of a long failure is cut to them: a slip there would leave the forwarder with an old list.
                 let (_, most) = follow_pauses(&self.settings);
-                let told = Micros::try_from(wait_ms).unwrap_or(Micros::MAX).saturating_mul(1000).min(most);
+                let told = told_wait::micros(wait_ms).min(most);
                 (self.following, self.follow_at) = (false, now + told + self.follow_pause.pause());
             }
             // A watch before this one, that told more or ended as it was left.
