--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -116,7 +116,6 @@
     destination: DestinationId,
     route: RouteId,
     zone: usize,
-    kind: usize,
     batch: usize,
     usable: bool,
     /// The list names it no more.
@@ -273,7 +272,6 @@
     destinations: BTreeMap<DestinationId, Destination>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     routes: Vec<Route>,
-    slots_used: usize,
     message_wakes: BTreeSet<(Micros, MessageId)>,
     call_wakes: BTreeSet<(Micros, CallId)>,
     timer_at: Micros,
@@ -290,7 +288,7 @@
         Controller { set: settings, dice, timer_at, ask_at, ..Controller::default() }
     }
 
-    /// Destinations with a route that is out, failing, or back but cold, for [`Event::Troubled`]: were they
+    /// Destinations with a route that is out, failing, or back but cold, for [`Event::Known`]: were they
     /// forgotten in a restart, messages that waited for it would break the rule of returns.
     pub fn troubled(&self) -> BTreeSet<DestinationId> {
         let troubled = |route: &Route| match route.health {
@@ -304,6 +302,12 @@
         apart.chain(shared).filter(|(_, route)| troubled(&self.routes[*route])).map(|(id, _)| id).collect()
     }
 
+    /// Whether nothing but trial calls goes to an endpoint now.
+    pub fn avoids(&self, id: EndpointId) -> bool {
+        let avoided = |e: &Endpoint| !e.usable || e.passed_over || self.routes[e.route].health == Health::Out;
+        self.endpoints.get(&id).is_none_or(avoided)
+    }
+
     /// Takes in all events of a batch, then decides once. `now` never goes back.
     pub fn step(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
@@ -346,16 +350,18 @@
                 message.may_have_run = may_have_run.map(|(ago, endpoint)| (self.now - ago, endpoint));
                 self.unsettled.push(*id);
             }
-            Event::Troubled { destinations } => {
-                for id in destinations {
-                    let places = self.destinations.get(id).map_or(&[][..], |d| &d.endpoints);
-                    let mut routes: Vec<RouteId> = places.iter().map(|e| self.endpoints[e].route).collect();
-                    if routes.is_empty() {
-                        // One without endpoints just now keeps its trouble for those to come.
-                        routes.push(self.new_route(None));
-                        self.destinations.entry(*id).or_default().shared = Some(routes[0]);
-                    }
-                    routes.into_iter().for_each(|route| self.routes[route].health = Health::Out);
+            Event::Known { destination: id, out, wait } => {
+                let places = self.destinations.get(id).map_or(&[][..], |d| &d.endpoints);
+                let mut routes: Vec<RouteId> = places.iter().map(|e| self.endpoints[e].route).collect();
+                if routes.is_empty() {
+                    // One without endpoints just now keeps what is known for those to come.
+                    routes.push(self.new_route(None));
+                    self.destinations.entry(*id).or_default().shared = Some(routes[0]);
+                }
+                for id in routes {
+                    let route = &mut self.routes[id];
+                    route.health = if *out { Health::Out } else { route.health };
+                    route.wait_until = route.wait_until.max(self.now + (*wait).clamp(0, LONGEST));
                 }
             }
             Event::Settings(settings) => self.set = (**settings).clone(),
@@ -419,7 +425,7 @@
         if let Some(known) = self.endpoints.get_mut(&entry.endpoint) {
             known.usable = entry.state == Listed::On && known.destination == entry.destination;
             known.gone = entry.state == Listed::Gone;
-            (known.zone, known.kind, known.batch) = (entry.zone, entry.kind, kind.batch.max(1));
+            (known.zone, known.batch) = (entry.zone, kind.batch.max(1));
             known.report = entry.report;
             known.route = shared.unwrap_or(known.route);
             self.routes[known.route].weight = entry.weight;
@@ -435,8 +441,8 @@
         destination.endpoints.push(entry.endpoint);
         let (batch, usable) = (kind.batch.max(1), entry.state == Listed::On);
         self.routes[route].weight = entry.weight;
-        let Entry { destination, zone, kind, report, .. } = *entry;
-        let place = Endpoint { destination, route, zone, kind, batch, usable, report, ..Endpoint::default() };
+        let Entry { destination, zone, report, .. } = *entry;
+        let place = Endpoint { destination, route, zone, batch, usable, report, ..Endpoint::default() };
         self.endpoints.insert(entry.endpoint, place);
     }
 
@@ -682,7 +688,6 @@
     fn close_call(&mut self, id: CallId, outcome: Outcome) {
         let Some(call) = self.calls.remove(&id) else { return };
         let Some(place) = self.endpoints.get_mut(&call.endpoint) else { return };
-        self.slots_used -= 1;
         place.in_flight -= 1;
         let kept = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
         if kept && place.in_flight.is_multiple_of(self.set.streams.max(1)) {
@@ -932,12 +937,12 @@
         let (route, set) = (&self.routes[place.route], &self.set);
         let (cold, far) = (!self.warm(place), place.zone != set.zone);
         let fee = set.zone_fees.get(place.zone).copied().unwrap_or(0.0);
-        part(cold) * set.handshake_cost
-            + part(far) * set.cross_zone_cost
-            + part(apart) * (fee + SECOND_COST * route.usual / SECOND as f64)
+        f64::from(cold) * set.handshake_cost
+            + f64::from(far) * set.cross_zone_cost
+            + f64::from(apart) * (fee + SECOND_COST * route.usual / SECOND as f64)
             + LOAD_COST * place.in_flight as f64
-            + part(route.sick())
-            + part(place.avoid_until > self.now || place.report == Report::Warning)
+            + f64::from(route.sick())
+            + f64::from(place.avoid_until > self.now || place.report == Report::Warning)
     }
 
     /// Rule of effects: a keyed message that may have run goes only where its repeat is dropped.
@@ -964,7 +969,7 @@
 
     fn send_all(&mut self, actions: &mut Vec<Action>) {
         self.draw_budgets();
-        while self.slots_used < self.set.slots {
+        while self.calls.len() < self.set.slots {
             let next = self.destinations.values().filter(|d| !d.queue.is_empty());
             let Some((_, _, id)) = next.filter_map(|d| self.next_of(d)).min() else { return };
             let Some(endpoint) = self.choose(id) else { return };
@@ -1000,7 +1005,6 @@
             place.idle.pop();
         }
         place.in_flight += 1;
-        self.slots_used += 1;
         self.destinations.entry(place.destination).or_default().in_flight += 1;
         let route = &mut self.routes[place.route];
         route.in_flight += 1;
@@ -1044,8 +1048,3 @@
 fn most_parts(set: &Settings) -> f64 {
     1.0 + PACE_FLEET / f64::from(set.fleet_size.max(1))
 }
-
-/// One for what is so, else nothing.
-fn part(so: bool) -> f64 {
-    f64::from(u8::from(so))
-}
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -296,10 +296,14 @@
         /// The first attempt that may have run: how long ago, and where to.
         may_have_run: Option<(Micros, EndpointId)>,
     },
-    /// Destinations that were in trouble before a restart; see [`troubled`](crate::Controller::troubled).
-    Troubled {
-        /// Their numbers.
-        destinations: Vec<DestinationId>,
+    /// What is known of a destination from elsewhere: an earlier process of this forwarder, or an operator.
+    Known {
+        /// Its number.
+        destination: DestinationId,
+        /// It is in trouble (see [`troubled`](crate::Controller::troubled)), or comes back cold.
+        out: bool,
+        /// It told to wait, so much longer; 0: nothing told.
+        wait: Micros,
     },
     /// Other settings hold from now on; the list comes again right after.
     Settings(Box<Settings>),
--- a/crates/core/src/transport_map.rs
+++ b/crates/core/src/transport_map.rs
@@ -162,6 +162,11 @@
         self.targets.get(uid)
     }
 
+    /// The endpoints, by uid.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+
     /// The whole list as one piece of news.
     pub fn whole(&self) -> News {
         News {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -909,7 +909,7 @@
 fn trouble_before_a_restart_is_minded() {
     let mut bench = Bench::new(settings(), &[entry(1, 1, 0, 0), entry(2, 2, 0, 0)]);
     assert!(bench.controller.troubled().is_empty());
-    bench.step(&[Event::Troubled { destinations: vec![1, 99] }]);
+    bench.step(&[1, 99].map(|destination| Event::Known { destination, out: true, wait: 0 }));
     assert_eq!(bench.controller.troubled().into_iter().collect::<Vec<_>>(), [1, 99]);
     let healthy = sends(&bench.hand_in(2, 0, 1));
     assert_eq!(healthy.len(), 1);
@@ -932,7 +932,7 @@
     for troubled in [false, true] {
         let mut bench = Bench::new(settings(), &[]);
         if troubled {
-            bench.step(&[Event::Troubled { destinations: vec![1, 2] }]);
+            bench.step(&[1, 2].map(|destination| Event::Known { destination, out: true, wait: 0 }));
         }
         bench.later(5 * S);
         bench.list(ListForm::Whole, &[entry(1, 1, 0, 0)]);
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -113,6 +113,15 @@
         /// The address given.
         discovery: SocketAddr,
     },
+    /// An operator has taken an endpoint out, or put it back.
+    ByHand {
+        /// The endpoint.
+        uid: String,
+        /// When.
+        at: Micros,
+        /// Out, or back.
+        out: bool,
+    },
     /// The destinations in trouble, all of them.
     Troubled {
         /// Their numbers.
@@ -172,6 +181,12 @@
             discovery: SocketAddr,
         }
         #[derive(Deserialize)]
+        struct ByHand {
+            uid: String,
+            at: Micros,
+            out: bool,
+        }
+        #[derive(Deserialize)]
         struct Troubled {
             dests: Vec<u64>,
         }
@@ -201,6 +216,10 @@
                 let Superseded { discovery } = serde_json::from_slice(text)?;
                 Record::Superseded { discovery }
             }
+            "by_hand" => {
+                let ByHand { uid, at, out } = serde_json::from_slice(text)?;
+                Record::ByHand { uid, at, out }
+            }
             "troubled" => {
                 let Troubled { dests } = serde_json::from_slice(text)?;
                 Record::Troubled { dests }
@@ -382,6 +401,7 @@
             Record::Over { txn, at: 0 },
             Record::Map(news),
             Record::Superseded { discovery: "127.0.0.1:5".parse().expect("an address") },
+            Record::ByHand { uid: "s".to_owned(), at: 6, out: true },
             Record::Troubled { dests: vec![0, u64::MAX] },
         ];
         let mut bytes = BytesMut::new();
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -17,6 +17,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     #[serde(default)]
     seed: String,
     limits: Limits,
@@ -77,6 +78,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: Discovery,
+    /// Where operators connect, if they do.
+    pub console: Option<SocketAddr>,
     /// The catalogue that tells the transport map in the place of discovery.
     pub catalogue: Option<Rc<dyn Catalogue>>,
     /// Seed of the module's chance.
@@ -91,7 +94,12 @@
     pub names: Names,
 }
 
-fn address(what: &str, given: Option<&str>, file: Option<String>) -> Result<SocketAddr, ConfigError> {
+/// Reads an address: what is given apart from the file goes before what the file says.
+pub(crate) fn address(
+    what: &str,
+    given: Option<&str>,
+    file: Option<String>,
+) -> Result<SocketAddr, ConfigError> {
     let text = given.map(str::to_owned).or(file);
     let text = text.ok_or_else(|| ConfigError(format!("{what}: no address is given")))?;
     text.parse().map_err(|_| ConfigError(format!("{what}: not an address and port: {text}")))
@@ -138,6 +146,7 @@
             name: file.name,
             listen: address("listen", listen, file.listen)?,
             discovery,
+            console: file.console.map(|text| address("console", Some(&text), None)).transpose()?,
             catalogue: None,
             seed,
             limits: file.limits,
--- /dev/null
+++ b/crates/node/src/console_listener.rs
@@ -0,0 +1,208 @@
+//! The operators' console on sockets: bounded connections, each with a time for its line, and a place always left
+//! for the next caller.
+
+use super::console::{Call, CallError, Reply, read};
+use crate::input::{Input, Ticket};
+use crate::log;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Connections at once, those of callers that have not said anything whole included.
+pub const PLACES: usize = 16;
+/// A line that has not come by then does not come.
+const LINE_TIME: Duration = Duration::from_secs(5);
+/// For the caller to read its reply, and for what it still sends to be dropped.
+const LAST_MOMENT: Duration = Duration::from_secs(1);
+const DROP_MOST: usize = 1 << 20;
+
+/// The console between its connections and the reducer.
+pub struct Console {
+    inputs: UnboundedSender<Input>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Reply>>>,
+    /// Connections in the order in which they came: who has no whole line yet may have to go.
+    callers: RefCell<BTreeMap<Ticket, AbortHandle>>,
+    /// Connections, until their tasks have ended.
+    open: Cell<usize>,
+    next: Cell<Ticket>,
+}
+
+impl Console {
+    /// A console that asks the reducer behind `inputs`.
+    pub fn new(inputs: UnboundedSender<Input>) -> Rc<Self> {
+        let (waiting, callers) = (RefCell::default(), RefCell::default());
+        Rc::new(Console { inputs, waiting, callers, open: Cell::new(0), next: Cell::new(0) })
+    }
+
+    /// Gives a caller its reply; one that is gone needs none.
+    pub fn reply(&self, ticket: Ticket, reply: Reply) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
+            let _ = waiting.send(reply);
+        }
+    }
+
+    async fn ask(&self, ticket: Ticket, call: Call) -> Reply {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        // The receiver is gone only when the forwarder ends.
+        let _ = self.inputs.send(Input::Operator { ticket, call });
+        receiver.await.unwrap_or_else(|_| Reply::No("the forwarder ends".to_owned()))
+    }
+
+    /// Whoever has waited longest without a whole line goes, until there is room for one more.
+    fn make_room(&self) {
+        while self.open.get() >= PLACES {
+            let Some((_, caller)) = self.callers.borrow_mut().pop_first() else { return };
+            caller.abort();
+            self.open.set(self.open.get() - 1);
+        }
+    }
+}
+
+/// A connection as the others see it, until its task ends, in whatever way.
+struct Place {
+    console: Rc<Console>,
+    ticket: Ticket,
+    /// It was among those that may have to go, or is past that.
+    asked: Cell<bool>,
+}
+
+impl Place {
+    /// Its line is whole: it stays until it has its reply.
+    fn asks(&self) {
+        self.asked.set(self.console.callers.borrow_mut().remove(&self.ticket).is_some());
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.console.waiting.borrow_mut().remove(&self.ticket);
+        let waited = self.console.callers.borrow_mut().remove(&self.ticket).is_some();
+        // One that had to go was counted out by whoever sent it off.
+        if waited || self.asked.get() {
+            self.console.open.set(self.console.open.get().saturating_sub(1));
+        }
+    }
+}
+
+/// Takes callers for as long as it is polled. Runs in a `LocalSet`.
+pub async fn listen(listener: TcpListener, console: Rc<Console>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                console.make_room();
+                let ticket = console.next.get();
+                console.next.set(ticket + 1);
+                console.open.set(console.open.get() + 1);
+                let place = Place { console: console.clone(), ticket, asked: Cell::new(false) };
+                let task = spawn_local(attend(stream, place));
+                console.callers.borrow_mut().insert(ticket, task.abort_handle());
+            }
+            Err(error) => {
+                log!("console: a connection could not be taken: {error}");
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// Serves one caller. What goes wrong here, a panic included, ends this connection alone.
+async fn attend(mut stream: TcpStream, place: Place) {
+    let Ok(read) = timeout(LINE_TIME, read_call(&mut stream)).await else { return };
+    place.asks();
+    let reply = match read {
+        Some(Ok(call)) => place.console.ask(place.ticket, call).await,
+        Some(Err(error)) => error.into(),
+        None => return,
+    };
+    // Whether the caller has heard is its own affair from here on.
+    let _ = timeout(LAST_MOMENT, tell(&mut stream, &reply.to_string())).await;
+}
+
+/// One call, or why it is none; nothing where the caller has gone before its line was whole.
+async fn read_call(stream: &mut TcpStream) -> Option<Result<Call, CallError>> {
+    let mut came = Vec::new();
+    loop {
+        let mut some = [0; 1024];
+        let count = stream.read(&mut some).await.ok().filter(|count| *count > 0)?;
+        came.extend_from_slice(&some[..count]);
+        if let Some(call) = read(&came) {
+            return Some(call);
+        }
+    }
+}
+
+/// Writes the reply, and reads what still comes to nowhere: a reset for unread bytes could overtake the reply.
+async fn tell(stream: &mut TcpStream, reply: &str) -> std::io::Result<()> {
+    stream.write_all(reply.as_bytes()).await?;
+    stream.shutdown().await?;
+    let (mut some, mut left) = ([0; 4096], DROP_MOST);
+    while left > 0 {
+        match stream.read(&mut some).await? {
+            0 => break,
+            count => left = left.saturating_sub(count),
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::sync::mpsc::unbounded_channel;
+    use tokio::task::LocalSet;
+
+    async fn say(at: std::net::SocketAddr, words: &[u8]) -> String {
+        let mut stream = TcpStream::connect(at).await.expect("it takes callers");
+        stream.write_all(words).await.expect("written");
+        let mut reply = String::new();
+        // A caller that is sent off may see a reset; it has no reply then.
+        let _ = stream.read_to_string(&mut reply).await;
+        reply
+    }
+
+    // Guards against callers that say nothing, or never end their line, and thereby keep out those that ask.
+    #[tokio::test(flavor = "current_thread")]
+    async fn silent_callers_keep_nobody_out() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("bound");
+        let (inputs, mut came) = unbounded_channel();
+        let console = Console::new(inputs);
+        let answering = console.clone();
+        let local = LocalSet::new();
+        local.spawn_local(listen(listener, console.clone()));
+        local.spawn_local(async move {
+            while let Some(Input::Operator { ticket, call }) = came.recv().await {
+                answering.reply(ticket, Reply::No(format!("{call:?}")));
+            }
+        });
+        local
+            .run_until(async {
+                let mut silent = Vec::new();
+                for number in 0..3 * PLACES {
+                    let mut stream = TcpStream::connect(at).await.expect("it takes callers");
+                    if number % 2 == 0 {
+                        stream.write_all(b"disable-server s").await.expect("written");
+                    }
+                    silent.push(stream);
+                    assert_eq!(say(at, b"ready\n").await, "400 Ready\n");
+                    assert!(console.open.get() <= PLACES, "bounded");
+                }
+                assert!(say(at, &[b'x'; 4096]).await.starts_with("400 the line is too long"));
+                assert!(say(at, b"ready\nready\n").await.starts_with("400 one line"));
+                drop(silent);
+                while console.open.get() > 0 {
+                    tokio::task::yield_now().await;
+                }
+                assert!(console.waiting.borrow().is_empty() && console.callers.borrow().is_empty());
+            })
+            .await;
+    }
+}
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -1,6 +1,7 @@
 //! What happens to the forwarder and what it is to do: the words between the reducer and its surroundings.
 
 use crate::config::Config;
+use crate::console;
 use crate::hop_call::{Call, HopError, Reply};
 use crate::pool::LinkId;
 use crate::source::Catalogue;
@@ -11,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// One request of the sender side that waits for its answer.
+/// One request of the sender side, or one call of an operator, that waits for its answer.
 pub type Ticket = u64;
 /// One append to the journal.
 pub type Receipt = u64;
@@ -72,6 +73,15 @@
         /// Connected.
         joined: bool,
     },
+    /// Clients that connect are taken from now on.
+    DoorOpen,
+    /// An operator asks for something.
+    Operator {
+        /// The call that waits.
+        ticket: Ticket,
+        /// What for.
+        call: console::Call,
+    },
     /// The journal was asked to append, and did or could not.
     Appended {
         /// Which append.
@@ -86,6 +96,11 @@
         /// Which.
         link: LinkId,
     },
+    /// A call's last byte has been written.
+    Written {
+        /// On this connection.
+        link: LinkId,
+    },
     /// A next hop has answered a call.
     Answered {
         /// On this connection.
@@ -175,6 +190,13 @@
         /// The answer.
         answer: DoorAnswer,
     },
+    /// Give an operator the reply.
+    Reply {
+        /// The call.
+        ticket: Ticket,
+        /// The reply.
+        reply: console::Reply,
+    },
     /// Append to the journal and report.
     Append {
         /// For the report.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,10 +5,14 @@
 
 pub mod backoff;
 pub mod config;
+pub mod console;
+pub mod console_listener;
 pub mod crowd;
 pub mod discovery;
+pub mod figures;
 pub mod front;
 pub mod hop_call;
+pub mod inherited;
 pub mod input;
 pub mod listener;
 pub mod log;
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -136,6 +136,9 @@
 struct Metered {
     stream: TcpStream,
     meter: Arc<Mutex<Meter>>,
+    /// Told when a request's last byte has gone.
+    link: LinkId,
+    inputs: UnboundedSender<Input>,
 }
 
 fn lock(meter: &Mutex<Meter>) -> MutexGuard<'_, Meter> {
@@ -163,7 +166,16 @@
     ) -> Poll<io::Result<usize>> {
         let done = Pin::new(&mut self.stream).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = done {
-            lock(&self.meter).written.take(&bytes[..count]);
+            let whole = {
+                let written = &mut lock(&self.meter).written;
+                let before = written.progress();
+                written.take(&bytes[..count]);
+                before != written.progress()
+            };
+            if whole {
+                // The receiver is gone only when the forwarder ends.
+                let _ = self.inputs.send(Input::Written { link: self.link });
+            }
         }
         done
     }
@@ -231,7 +243,7 @@
         return broken(Progress::NotConnected, error);
     }
     let meter = Arc::new(Mutex::new(Meter::default()));
-    let stream = Metered { stream, meter: meter.clone() };
+    let stream = Metered { stream, meter: meter.clone(), link, inputs: inputs.clone() };
     let handshake = http1::Builder::new().max_buf_size(LARGEST_HEAD).handshake(TokioIo::new(stream));
     let (mut sender, connection) = match handshake.await {
         Ok(pair) => pair,
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -1,12 +1,12 @@
 //! Delivery attempts: from the module's sends to the end of each.
 
 use super::{Reducer, Stored};
+use crate::figures::End;
 use crate::hop_call::{self, Call, HopError, Part, Reply};
 use crate::input::Effect;
 use crate::pool::{CallId, Claim, LinkId};
 use crate::told_wait;
-use orchidyoke_core::interface::{Answer, EndpointId, Event, MessageId, Micros, Outcome};
-use orchidyoke_core::transport_map::State;
+use orchidyoke_core::interface::{Answer, EndpointId, Event, Listed, MessageId, Micros, Outcome};
 use orchidyoke_journal::{Record, Trace, Verdict};
 
 /// A dial ends this long after the time that the module allows, which tells "silent" from "refused" by it.
@@ -92,9 +92,9 @@
 
     /// A connection is there: whether the call may still go is decided now, and its record comes first.
     pub(super) fn begin(&mut self, now: Micros, call: CallId, link: LinkId) {
+        let Some(hop) = self.flights.get(&call).and_then(|flight| self.hops.get(&flight.hop)) else { return };
+        let in_service = self.state_of(&hop.uid) == Some(Listed::On);
         let Some(flight) = self.flights.get_mut(&call) else { return };
-        let Some(hop) = self.hops.get(&flight.hop) else { return };
-        let in_service = self.map.get(&hop.uid).is_some_and(|t| t.state == State::InService);
         let waiting = self.waits.get(&hop.destination).is_some_and(|until| *until > now);
         let (gone, parts): (Vec<_>, Vec<_>) = std::mem::take(&mut flight.parts)
             .into_iter()
@@ -139,6 +139,12 @@
         self.effects.push(Effect::Write { link, call });
     }
 
+    /// The last byte of a call has gone.
+    pub(super) fn written(&mut self, link: LinkId) {
+        let flight = self.pool.call_of(link).and_then(|call| self.flights.get(&call));
+        self.figures.dispatched(flight.map_or(0, |flight| flight.txns.len()));
+    }
+
     /// A call that was not written: none of its messages ran, and the next hop saw nothing.
     pub(super) fn not_sent(&mut self, now: Micros, call: CallId) {
         let Some(flight) = self.flights.remove(&call) else { return };
@@ -223,7 +229,8 @@
         if outcome == Outcome::Ok && told.late {
             // It came after the time of this message or of another in its call, or was read late: whether it still
             // counts is not known here, and a notice for what is over does no harm.
-            self.end(now, id, Verdict::Failed);
+            // The next hop says that it was delivered: so it is counted.
+            self.end_as(now, id, Verdict::Failed, End::Success);
         } else if outcome == Outcome::Ok {
             self.over(now, id);
         } else if let Some(message) = self.messages.get(&id) {
--- a/crates/node/src/reducer/hops.rs
+++ b/crates/node/src/reducer/hops.rs
@@ -5,8 +5,8 @@
 use crate::config::Config;
 use crate::input::{Effect, Following};
 use crate::source::Catalogue;
-use orchidyoke_core::interface::{DestinationId, EndpointId, Entry, Event, ListForm, Listed, Micros};
-use orchidyoke_core::transport_map::News;
+use orchidyoke_core::interface::{DestinationId, EndpointId, Entry, Event, ListForm, Listed, Micros, Report};
+use orchidyoke_core::transport_map::{Checks, News, State, Target};
 use orchidyoke_journal::Record;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -43,10 +43,11 @@
         let (first, most) = follow_pauses(&settings);
         self.follow_pause.bound(first, most);
         (self.settings, self.names) = (settings.clone(), names);
+        self.figures.name(&self.names.classes);
         self.events.push(Event::Settings(Box::new(settings)));
         // The numbers of zones and kinds may have changed.
         let whole = self.map.whole();
-        self.take_list(&whole, ListForm::Whole);
+        self.take_list(now, &whole, ListForm::Whole);
     }
 
     pub(super) fn follow(&mut self, now: Micros) {
@@ -67,7 +68,24 @@
         }
     }
 
-    pub(super) fn take_list(&mut self, news: &News, form: ListForm) {
+    /// What the module is told of an endpoint.
+    pub(super) fn entry(&self, now: Micros, hop: EndpointId, target: &Target) -> Entry {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let out = target.state == State::InService && self.overlay.is_out(&target.uid);
+        let cold = target.checks == Checks::Passing && self.is_cold(now, &target.uid);
+        Entry {
+            endpoint: hop,
+            destination: target.pod_group,
+            zone: place(&self.names.zones, &target.az).unwrap_or(usize::MAX),
+            kind: place(&self.names.kinds, &target.model).unwrap_or(usize::MAX),
+            state: if out { Listed::Draining } else { target.state.into() },
+            // Cold beside others that serve: they go before it.
+            report: if cold { Report::Warning } else { target.checks.into() },
+            weight: target.capacity_hint,
+        }
+    }
+
+    pub(super) fn take_list(&mut self, now: Micros, news: &News, form: ListForm) {
         let mut entries = Vec::new();
         for target in &news.targets {
             let hop = *self.hop_numbers.entry(target.uid.clone()).or_insert(self.next_hop);
@@ -79,16 +97,7 @@
             if self.map.get(&target.uid).is_some_and(|known| known.endpoint != target.endpoint) {
                 self.close_idle(hop);
             }
-            let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-            entries.push(Entry {
-                endpoint: hop,
-                destination: target.pod_group,
-                zone: place(&self.names.zones, &target.az).unwrap_or(usize::MAX),
-                kind: place(&self.names.kinds, &target.model).unwrap_or(usize::MAX),
-                state: target.state.into(),
-                report: target.checks.into(),
-                weight: target.capacity_hint,
-            });
+            entries.push(self.entry(now, hop, target));
         }
         if news.all {
             let named: BTreeSet<_> = entries.iter().map(|entry| entry.endpoint).collect();
--- a/crates/node/src/reducer/messages.rs
+++ b/crates/node/src/reducer/messages.rs
@@ -1,6 +1,7 @@
 //! Messages: at the door, taken on, ended.
 
 use super::{NO_ROOM_PAUSE, Reducer, Stored};
+use crate::figures::End;
 use crate::input::{DoorAnswer, Handed, Ticket};
 use bytes::Bytes;
 use orchidyoke_core::interface::{EndpointId, Event, MessageId, Micros};
@@ -52,6 +53,7 @@
         }
         let full = self.settings.max_open > 0 && self.messages.len() >= self.settings.max_open;
         if full || !self.space.admits(self.live_size(), handed.body.len() + handed.txn.len() + 512) {
+            self.figures.turned_away(&handed.class, End::Overload);
             return self.answer(ticket, DoorAnswer::Deferred(NO_ROOM_PAUSE));
         }
         let taken = Taken {
@@ -80,6 +82,7 @@
             let hop = self.hop_numbers.get(&trace.uid).copied().unwrap_or(EndpointId::MAX);
             ((now - trace.at).max(0), hop)
         });
+        self.figures.took(1);
         let id = self.hold(Message { taken, body, waiting: Vec::new(), stored: true }, now, false);
         self.events.push(Event::History { id, attempts, may_have_run });
     }
@@ -123,10 +126,13 @@
     pub(super) fn taken_on(&mut self, taken: Vec<(MessageId, Vec<Ticket>)>, stored: bool) {
         for (id, tickets) in taken {
             if stored {
-                if let Some(message) = self.messages.get_mut(&id) {
-                    message.stored = true;
+                if let Some(message) = self.messages.get_mut(&id)
+                    && !std::mem::replace(&mut message.stored, true)
+                {
+                    self.figures.took(1);
                 }
-            } else if self.drop_message(id).is_some() {
+            } else if let Some(message) = self.drop_message(id) {
+                self.figures.turned_away(&message.taken.class, End::Overload);
                 self.events.push(Event::Hangup { id });
             }
             let answer = if stored { DoorAnswer::TakenOn } else { DoorAnswer::Deferred(NO_ROOM_PAUSE) };
@@ -136,6 +142,15 @@
 
     /// The module's final answer: at the door it is the request's, later a notice's.
     pub(super) fn end(&mut self, now: Micros, id: MessageId, verdict: Verdict) {
+        let end = match verdict {
+            Verdict::Failed => End::Error,
+            Verdict::Returned { .. } => End::Overload,
+        };
+        self.end_as(now, id, verdict, end);
+    }
+
+    /// A final answer that counts as this end.
+    pub(super) fn end_as(&mut self, now: Micros, id: MessageId, verdict: Verdict, end: End) {
         let Some(message) = self.messages.get(&id) else { return };
         let txn = message.taken.txn.clone();
         if message.stored {
@@ -146,8 +161,13 @@
             Verdict::Failed => DoorAnswer::Failed,
             Verdict::Returned { after_ms } => DoorAnswer::Deferred(after_ms * 1000),
         };
-        let message = self.drop_message(id);
-        for ticket in message.into_iter().flat_map(|m| m.waiting) {
+        let Some(message) = self.drop_message(id) else { return };
+        if message.stored {
+            self.figures.ended(&message.taken.class, end);
+        } else {
+            self.figures.turned_away(&message.taken.class, end);
+        }
+        for ticket in message.waiting {
             self.answer(ticket, answer);
         }
     }
@@ -157,7 +177,9 @@
         let Some(message) = self.messages.get(&id) else { return };
         let txn = message.taken.txn.clone();
         self.append(&[(&Record::Over { txn: txn.clone(), at: now }, b"")], None);
-        self.drop_message(id);
+        if let Some(message) = self.drop_message(id) {
+            self.figures.ended(&message.taken.class, End::Success);
+        }
         self.recent.remember(txn, now);
     }
 
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -9,11 +9,13 @@
 mod hops;
 mod messages;
 mod notices;
+mod operators;
 mod records;
 mod stop;
 
 use crate::backoff::Backoff;
 use crate::config::Config;
+use crate::figures::Figures;
 use crate::input::{DoorAnswer, Effect, Input, Receipt, Ticket, WatchId};
 use crate::pool::{CallId, Pool};
 use crate::source::Catalogue;
@@ -22,6 +24,7 @@
 use hops::Hop;
 use messages::Message;
 use notices::{Owed, Recent};
+use operators::{ByHand, Overlay};
 use orchidyoke_core::Controller;
 use orchidyoke_core::interface::{
     Action, DestinationId, EndpointId, Event, ListForm, MessageId, Micros, Settings,
@@ -54,6 +57,7 @@
 enum Stored {
     TakeOn(Vec<(MessageId, Vec<Ticket>)>),
     Begin(CallId),
+    ByHand { ticket: Ticket, uid: String, call: ByHand },
 }
 
 /// The first and the last bound of the pause before the list is asked for again, by the size of the fleet.
@@ -110,6 +114,11 @@
     stored: BTreeMap<Receipt, Stored>,
     next_receipt: Receipt,
     senders: usize,
+    /// Clients that connect are taken.
+    takes_clients: bool,
+    /// What operators have said of endpoints.
+    overlay: Overlay,
+    figures: Figures,
     leaving: Option<Leaving>,
     effects: Vec<Effect>,
 }
@@ -161,6 +170,9 @@
             stored: BTreeMap::new(),
             next_receipt: 0,
             senders: 0,
+            takes_clients: false,
+            overlay: left.overlay,
+            figures: Figures::default(),
             leaving: None,
             effects: Vec::new(),
             settings,
@@ -176,10 +188,12 @@
         // A catalogue counts versions of its own: what it told last holds until it tells more.
         let catalogued = !left.map.origin().is_empty() && reducer.catalogue.is_some();
         let newest = if catalogued || left.map.rev() > known.rev { left.map.whole() } else { known.clone() };
-        reducer.take_list(&known, ListForm::Remembered);
-        reducer.take_list(&newest, ListForm::Remembered);
-        let destinations = reducer.troubled.iter().copied().collect();
-        reducer.events.push(Event::Troubled { destinations });
+        reducer.figures.name(&reducer.names.classes);
+        reducer.take_list(now, &known, ListForm::Remembered);
+        reducer.take_list(now, &newest, ListForm::Remembered);
+        let troubled =
+            |destination: &DestinationId| Event::Known { destination: *destination, out: true, wait: 0 };
+        reducer.events.extend(reducer.troubled.iter().map(troubled));
         for (taken, body) in left.taken.into_values() {
             reducer.restore(taken, body, now);
         }
@@ -201,6 +215,9 @@
                 match self.stored.remove(&receipt) {
                     Some(Stored::TakeOn(taken)) => self.taken_on(taken, stored),
                     Some(Stored::Begin(call)) => self.write(now, call, stored),
+                    Some(Stored::ByHand { ticket, uid, call }) => {
+                        self.put_stored(now, ticket, &uid, call, stored);
+                    }
                     None => {}
                 }
             }
@@ -209,6 +226,9 @@
                     self.begin(now, call, link);
                 }
             }
+            Input::DoorOpen => self.takes_clients = true,
+            Input::Operator { ticket, call } => self.operate(now, ticket, call),
+            Input::Written { link } => self.written(link),
             Input::Answered { link, reply, reusable } => self.answered(now, link, &reply, reusable),
             Input::LinkClosed { link, error } => {
                 if let Some(call) = self.pool.closed(link) {
@@ -219,7 +239,7 @@
                 let form = if news.all { ListForm::Whole } else { ListForm::Changes };
                 let record = Record::Map(news.clone());
                 self.append(&[(&record, b"")], None);
-                self.take_list(&news, form);
+                self.take_list(now, &news, form);
             }
             Input::MapLost { watch, why, wait_ms } if watch == self.watch => {
                 self.log(format!("transport map: {why}; the last list stays in use"));
@@ -252,13 +272,14 @@
         let post = self.owed.wake_at();
         let follow = (!self.following).then_some(self.follow_at);
         let leave = self.leaving.as_ref().map(Leaving::wake_at);
-        [turn, timer, post, follow, leave, self.pool.reap_at()].into_iter().flatten().min()
+        [turn, timer, post, follow, leave, self.pool.reap_at(), self.warm_at()].into_iter().flatten().min()
     }
 
     fn alarm(&mut self, now: Micros) {
         for link in self.pool.reap(now) {
             self.effects.push(Effect::Close { link });
         }
+        self.warmed(now);
         while let Some((at, token)) = self.timers.first().copied()
             && at <= now
         {
--- /dev/null
+++ b/crates/node/src/reducer/operators.rs
@@ -0,0 +1,202 @@
+//! What operators ask for: whether this process takes clients, its figures, and endpoints out and back by hand.
+//!
+//! What is out by hand lies over the transport map: no list, reload, restart or upgrade ends it.
+
+use super::{Reducer, Stored};
+use crate::console::{Call, Reply};
+use crate::figures::{Figures, Standing};
+use crate::input::{Effect, Ticket};
+use orchidyoke_core::interface::{Event, ListForm, Listed, Micros};
+use orchidyoke_core::transport_map::State;
+use orchidyoke_journal::Record;
+use std::collections::BTreeMap;
+
+/// Endpoints out by hand that no list names may be so many; beyond, the call that lies furthest back is forgotten.
+const UNLISTED_MOST: usize = 256;
+/// About the bytes of the record of a call, beside the id.
+const CALL_RECORD: usize = 96;
+
+/// An operator's last call about an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ByHand {
+    pub at: Micros,
+    pub out: bool,
+}
+
+/// The operators' calls about endpoints, by uid: the last of each counts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Overlay {
+    calls: BTreeMap<String, ByHand>,
+    bytes: usize,
+}
+
+impl Overlay {
+    /// Takes in a call; whether it is news: one that lies further back than what is known is not.
+    pub fn take(&mut self, uid: &str, call: ByHand) -> bool {
+        let known = self.calls.get(uid);
+        if known.is_some_and(|known| known.at > call.at || known == &call) || known.is_none() && !call.out {
+            return false;
+        }
+        if self.calls.insert(uid.to_owned(), call).is_none() {
+            self.bytes += uid.len() + CALL_RECORD;
+        }
+        true
+    }
+
+    pub fn is_out(&self, uid: &str) -> bool {
+        self.calls.get(uid).is_some_and(|call| call.out)
+    }
+
+    /// When an endpoint was put back, if that was its last call.
+    pub fn back_since(&self, uid: &str) -> Option<Micros> {
+        self.calls.get(uid).filter(|call| !call.out).map(|call| call.at)
+    }
+
+    /// About the bytes that the calls take up in a snapshot, never less.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &ByHand)> {
+        self.calls.iter()
+    }
+
+    /// Forgets calls back once their endpoints are warm, and the oldest of those that are unlisted and too many.
+    fn prune(&mut self, warm_since: Micros, listed: impl Fn(&str) -> bool) {
+        self.calls.retain(|_, call| call.out || call.at > warm_since);
+        let mut unlisted: Vec<_> =
+            self.calls.iter().filter(|(uid, _)| !listed(uid)).map(|(uid, c)| (c.at, uid.clone())).collect();
+        unlisted.sort_unstable();
+        let surplus = unlisted.len().saturating_sub(UNLISTED_MOST);
+        for (_, uid) in unlisted.drain(..surplus) {
+            self.calls.remove(&uid);
+        }
+        self.bytes = self.calls.keys().map(|uid| uid.len() + CALL_RECORD).sum();
+    }
+}
+
+impl Reducer {
+    /// One call of an operator. What changes something is answered once it is in the journal.
+    pub(super) fn operate(&mut self, now: Micros, ticket: Ticket, call: Call) {
+        let reply = match call {
+            Call::Ready if self.takes_clients => Reply::Yes("ready"),
+            Call::Ready => Reply::No("takes no clients".to_owned()),
+            Call::ShowStat => Reply::Figures(self.figures.lines(self.standing())),
+            Call::DisableServer(uid) => return self.put(now, ticket, uid, true),
+            Call::EnableServer(uid) => return self.put(now, ticket, uid, false),
+        };
+        self.effects.push(Effect::Reply { ticket, reply });
+    }
+
+    fn put(&mut self, now: Micros, ticket: Ticket, uid: String, out: bool) {
+        if self.map.get(&uid).is_none() && !self.overlay.is_out(&uid) {
+            let reply = Reply::No(format!("no endpoint {uid} is listed"));
+            return self.effects.push(Effect::Reply { ticket, reply });
+        }
+        if self.overlay.is_out(&uid) == out {
+            let reply = Reply::Yes(if out { "it is out already" } else { "it is in already" });
+            return self.effects.push(Effect::Reply { ticket, reply });
+        }
+        let call = ByHand { at: now, out };
+        let record = Record::ByHand { uid: uid.clone(), at: now, out };
+        self.append(&[(&record, b"")], Some(Stored::ByHand { ticket, uid, call }));
+    }
+
+    /// An operator's call is in the journal, or is not: it is in force from here on.
+    pub(super) fn put_stored(&mut self, now: Micros, ticket: Ticket, uid: &str, call: ByHand, stored: bool) {
+        let reply = if stored {
+            self.by_hand(now, uid, call);
+            self.prune(now);
+            self.log(format!("operator: {uid} is {}", if call.out { "out" } else { "back" }));
+            Reply::Yes(if call.out { "out" } else { "back" })
+        } else {
+            Reply::No("the journal has no room for it, or cannot be written".to_owned())
+        };
+        self.effects.push(Effect::Reply { ticket, reply });
+    }
+
+    /// Puts a call in force, wherever it came from.
+    pub(super) fn by_hand(&mut self, now: Micros, uid: &str, call: ByHand) {
+        if !self.overlay.take(uid, call) {
+            return;
+        }
+        if call.out
+            && let Some(hop) = self.hop_numbers.get(uid).copied()
+        {
+            self.close_idle(hop);
+        }
+        self.relist(now, uid);
+        if let (false, Some(target)) = (call.out, self.map.get(uid)) {
+            // It was restarted meanwhile. Beside others that serve it waits until it is warm; alone, its
+            // destination comes back as after an outage.
+            let destination = target.pod_group;
+            let mut sisters = self.map.iter().filter(|t| t.pod_group == destination && t.uid != uid);
+            if !sisters.any(|sister| self.state_of(&sister.uid) == Some(Listed::On)) {
+                self.events.push(Event::Known { destination, out: true, wait: 0 });
+            }
+        }
+    }
+
+    /// Tells the module of an endpoint's state anew.
+    fn relist(&mut self, now: Micros, uid: &str) {
+        if let (Some(target), Some(hop)) = (self.map.get(uid), self.hop_numbers.get(uid)) {
+            let entry = self.entry(now, *hop, target);
+            self.events.push(Event::List { form: ListForm::Changes, entries: vec![entry] });
+        }
+    }
+
+    /// What the list and the operators together say of an endpoint.
+    pub(super) fn state_of(&self, uid: &str) -> Option<Listed> {
+        let state = self.map.get(uid)?.state;
+        let out = state == State::InService && self.overlay.is_out(uid);
+        Some(if out { Listed::Draining } else { state.into() })
+    }
+
+    /// Whether an endpoint was put back so lately that it is still cold.
+    pub(super) fn is_cold(&self, now: Micros, uid: &str) -> bool {
+        self.overlay.back_since(uid).is_some_and(|since| now - since < self.settings.warm_within)
+    }
+
+    /// When the next endpoint that was put back is warm.
+    pub(super) fn warm_at(&self) -> Option<Micros> {
+        let back = self.overlay.iter().filter(|(_, call)| !call.out);
+        back.map(|(_, call)| call.at + self.settings.warm_within).min()
+    }
+
+    /// Endpoints that were put back and are warm by now are as all others.
+    pub(super) fn warmed(&mut self, now: Micros) {
+        if self.warm_at().is_none_or(|at| at > now) {
+            return;
+        }
+        let known: Vec<String> = self.overlay.iter().map(|(uid, _)| uid.clone()).collect();
+        self.prune(now);
+        for uid in known {
+            if !self.overlay.calls.contains_key(&uid) {
+                self.relist(now, &uid);
+            }
+        }
+    }
+
+    fn prune(&mut self, now: Micros) {
+        let map = &self.map;
+        self.overlay.prune(now - self.settings.warm_within, |uid| map.get(uid).is_some());
+    }
+
+    /// The counts of this process.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// What is counted as it stands now.
+    pub fn standing(&self) -> Standing {
+        let avoided = |uid: &str| {
+            let chosen = self.hop_numbers.get(uid).is_some_and(|hop| self.controller.avoids(*hop));
+            chosen || self.state_of(uid) != Some(Listed::On)
+        };
+        Standing {
+            concurrent: self.messages.values().filter(|message| message.stored).count(),
+            targets: self.map.len(),
+            targets_disabled: self.map.iter().filter(|target| avoided(&target.uid)).count(),
+        }
+    }
+}
--- a/crates/node/src/reducer/records.rs
+++ b/crates/node/src/reducer/records.rs
@@ -2,6 +2,7 @@
 
 use super::messages::Message;
 use super::notices::SHORT_RECORD;
+use super::operators::{ByHand, Overlay};
 use super::{Reducer, Stored};
 use crate::config::Limits;
 use crate::input::Effect;
@@ -38,6 +39,7 @@
     pub map: TransportMap,
     pub troubled: BTreeSet<DestinationId>,
     pub superseded: Option<SocketAddr>,
+    pub overlay: Overlay,
 }
 
 pub(super) fn replay(records: Entries) -> Replayed {
@@ -81,6 +83,9 @@
             }
             Record::Map(news) => left.map.take(&news),
             Record::Superseded { discovery } => left.superseded = Some(discovery),
+            Record::ByHand { uid, at, out } => {
+                left.overlay.take(&uid, ByHand { at, out });
+            }
             Record::Troubled { dests } => left.troubled = dests.into_iter().collect(),
         }
     }
@@ -110,7 +115,7 @@
         // Counted as it comes and goes: this is asked for with each append.
         debug_assert_eq!(self.live, self.messages.values().map(Message::size).sum::<usize>());
         let known = self.map.size() + self.troubled.len() * 24 + 300;
-        self.live + self.owed.bytes() + self.recent.bytes() + known
+        self.live + self.owed.bytes() + self.recent.bytes() + self.overlay.bytes() + known
     }
 
     /// All that still counts.
@@ -121,6 +126,9 @@
         if let Some(discovery) = self.superseded {
             Record::Superseded { discovery }.encode(b"", &mut bytes);
         }
+        for (uid, call) in self.overlay.iter() {
+            Record::ByHand { uid: uid.clone(), at: call.at, out: call.out }.encode(b"", &mut bytes);
+        }
         for (at, txn) in self.recent.iter() {
             Record::Over { txn: txn.clone(), at: *at }.encode(b"", &mut bytes);
         }
@@ -133,6 +141,11 @@
         bytes.freeze()
     }
 
+    /// Destinations in trouble, as the journal has them.
+    pub fn troubled(&self) -> impl Iterator<Item = DestinationId> {
+        self.troubled.iter().copied()
+    }
+
     /// What the module knows of destinations in trouble outlasts the process.
     pub(super) fn keep_troubled(&mut self) {
         let troubled = self.controller.troubled();
--- a/crates/node/src/reducer/stop.rs
+++ b/crates/node/src/reducer/stop.rs
@@ -52,6 +52,7 @@
             None if now >= leaving.at || now - leaving.quiet_since >= QUIET => {
                 // What clients have sent by now is still taken on: an end without an answer would lose it.
                 leaving.closed = Some(now);
+                self.takes_clients = false;
                 self.effects.push(Effect::CloseDoor);
             }
             Some(closed) if self.senders == 0 || now - closed >= LAST_ANSWERS => {
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -1,6 +1,6 @@
 //! New configurations: at SIGHUP the file is read again and checked whole; only a good one is handed on.
 
-use super::config::{Config, ConfigError};
+use super::config::{Config, ConfigError, address};
 use crate::input::Input;
 use crate::log;
 use std::future::Future;
@@ -25,6 +25,8 @@
     pub listen: Option<String>,
     /// Where discovery answers.
     pub discovery: Option<String>,
+    /// Where operators connect.
+    pub console: Option<String>,
     /// Settings beyond the file.
     pub installation: Option<Box<dyn Installation>>,
 }
@@ -32,7 +34,10 @@
 impl Source {
     /// Reads and checks the configuration as it is now.
     pub async fn load(&self) -> Result<Config, ConfigError> {
-        let config = Config::load(&self.path, self.listen.as_deref(), self.discovery.as_deref())?;
+        let mut config = Config::load(&self.path, self.listen.as_deref(), self.discovery.as_deref())?;
+        if let Some(console) = &self.console {
+            config.console = Some(address("console", Some(console), None)?);
+        }
         match &self.installation {
             Some(installation) => installation.extend(config).await,
             None => Ok(config),
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,5 +1,6 @@
 //! The running forwarder: a clock, the reducer, and the effects that it asks for on sockets and files.
 
+use super::console_listener::{self, Console};
 use super::front::Door;
 use super::listener::{self, Room};
 use super::next_hop::{self, Order};
@@ -7,7 +8,7 @@
 use super::reducer::Reducer;
 use super::reload::{Reloads, Source};
 use super::shutdown::Signals;
-use super::{discovery, notices};
+use super::{discovery, inherited, notices};
 use crate::input::{Effect, Following, Input, WatchId};
 use crate::log;
 use crate::source::Teller;
@@ -16,6 +17,8 @@
 use orchidyoke_journal::Journal;
 use std::collections::{HashMap, VecDeque};
 use std::error::Error;
+use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -51,6 +54,7 @@
     clock: Clock,
     journal: Journal,
     door: Rc<Door>,
+    console: Rc<Console>,
     links: HashMap<LinkId, UnboundedSender<Order>>,
     inputs: UnboundedSender<Input>,
     room: Rc<Room>,
@@ -66,6 +70,7 @@
     fn carry_out(&mut self, effect: Effect) -> Option<Input> {
         match effect {
             Effect::Answer { ticket, answer } => self.door.answer(ticket, answer),
+            Effect::Reply { ticket, reply } => self.console.reply(ticket, reply),
             Effect::Append { receipt, bytes } => {
                 let stored = self.journal.append(&bytes).inspect_err(|e| log!("journal: {e}")).is_ok();
                 let size = self.journal.size();
@@ -135,29 +140,38 @@
     }
 }
 
-/// Serves until the process is told to end.
-pub fn serve(source: Source, state: &Path) -> Result<(), Box<dyn Error>> {
+/// Serves until the process is told to end. `fd` is the descriptor of the clients' listening socket, where whoever
+/// started the process holds it.
+pub fn serve(source: Source, state: &Path, fd: Option<RawFd>) -> Result<(), Box<dyn Error>> {
+    let inherited =
+        fd.map(|fd| inherited::listener(fd).map_err(|e| format!("descriptor {fd}: {e}"))).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(run(source, state)))
+    runtime.block_on(LocalSet::new().run_until(run(source, state, inherited)))
 }
 
-async fn run(source: Source, state: &Path) -> Result<(), Box<dyn Error>> {
+async fn run(
+    source: Source,
+    state: &Path,
+    inherited: Option<std::net::TcpListener>,
+) -> Result<(), Box<dyn Error>> {
     let (signals, reloads) = (Signals::listen()?, Reloads::listen()?);
     let config = source.load().await?;
     let clock = Clock::start();
     let (inputs, mut came) = unbounded_channel();
     let opened = Journal::open(state);
     let (journal, records, size) = opened.map_err(|e| format!("{}: {e}", state.display()))?;
-    let listen = config.listen;
+    let (listen, console_at) = (config.listen, config.console);
     let most_clients = config.limits.sockets / 2;
     log!("{} starts: {} records in its journal", config.name, records.len());
     let mut reducer = Reducer::new(config, records, size, clock.now());
     let door = Door::new(inputs.clone());
+    let console = Console::new(inputs.clone());
     let room = Room::new(most_clients);
     let mut hands = Hands {
         clock,
         journal,
         door: door.clone(),
+        console: console.clone(),
         links: HashMap::new(),
         inputs: inputs.clone(),
         room: room.clone(),
@@ -167,10 +181,19 @@
     };
     // What was left over is decided on before anyone is told that the forwarder is ready.
     hands.take(&mut reducer, Input::Alarm);
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    let listener = match inherited {
+        Some(inherited) => TcpListener::from_std(inherited)?,
+        None => bind(listen).await?,
+    };
     log!("listens on {}", listener.local_addr()?);
     let listening = spawn_local(listener::listen(listener, door, room));
     hands.listening = Some(listening.abort_handle());
+    hands.take(&mut reducer, Input::DoorOpen);
+    if let Some(at) = console_at {
+        let listener = bind(at).await?;
+        log!("console at {}", listener.local_addr()?);
+        spawn_local(console_listener::listen(listener, console));
+    }
     spawn_local(signals.report(inputs.clone()));
     spawn_local(reloads.report(source, inputs));
     while !hands.ending {
@@ -180,6 +203,10 @@
     Ok(())
 }
 
+async fn bind(at: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(at).await.map_err(|e| format!("{at}: {e}"))
+}
+
 /// Waits for what comes next, takes in all that is there, and lets the reducer decide when its time has come.
 async fn step(hands: &mut Hands, reducer: &mut Reducer, came: &mut UnboundedReceiver<Input>) {
     let clock = hands.clock;
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -8,6 +8,7 @@
 use orchidyoke_core::transport_map::{News, State, Target};
 use orchidyoke_journal::{Record, Verdict, replay};
 use orchidyoke_node::config::Config;
+use orchidyoke_node::console::{self, Reply as Said};
 use orchidyoke_node::hop_call::{Call, Cause, HopError, Progress, Reply};
 use orchidyoke_node::input::{DoorAnswer, Effect, Following, Handed, Input, Ticket};
 use orchidyoke_node::pool::LinkId;
@@ -33,6 +34,7 @@
     Wait(Micros),
     Post(bool),
     List { which: usize, state: State },
+    Operator { which: usize, out: bool },
     Kill,
     Terminate,
 }
@@ -40,7 +42,7 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let (which, flag) = (usize::arbitrary(g), bool::arbitrary(g));
-        match u8::arbitrary(g) % 40 {
+        match u8::arbitrary(g) % 42 {
             0..=9 => Step::HandIn { orders: flag, dest: 1 + which as u64 % 3, size: which % 6000 },
             10 => Step::HandInAgain(which),
             11..=17 => Step::Connect { which, up: u8::arbitrary(g) % 5 > 0 },
@@ -53,6 +55,7 @@
                 Step::List { which, state: *g.choose(&states).expect("some") }
             }
             38 => Step::Kill,
+            39 | 40 => Step::Operator { which, out: flag },
             _ if which.is_multiple_of(4) => Step::Terminate,
             _ => Step::Wait(3 * S),
         }
@@ -97,6 +100,12 @@
     /// Watches asked for: number, port of discovery, version held.
     follows: Vec<(u64, u16, u64)>,
     waits: BTreeMap<u64, Micros>,
+    /// Endpoints that are out by the forwarder's yes.
+    out: BTreeSet<String>,
+    replies: BTreeMap<Ticket, Said>,
+    /// Seen in this process: messages written whole, and requests turned away at the door.
+    written: u64,
+    turned_away: u64,
     door_closed: bool,
     exited: bool,
 }
@@ -154,6 +163,10 @@
             rev: 1,
             follows: Vec::new(),
             waits: BTreeMap::new(),
+            out: BTreeSet::new(),
+            replies: BTreeMap::new(),
+            written: 0,
+            turned_away: 0,
             door_closed: false,
             exited: false,
         };
@@ -179,8 +192,12 @@
                     self.fates.get_mut(&txn).expect("handed in").taken_on = true;
                 } else {
                     assert!(matches!(answer, DoorAnswer::Deferred(_)), "{answer:?}");
+                    self.turned_away += 1;
                 }
             }
+            Effect::Reply { ticket, reply } => {
+                assert!(self.replies.insert(ticket, reply).is_none(), "one reply");
+            }
             Effect::Append { receipt, bytes } => {
                 self.file.extend_from_slice(&bytes);
                 assert!(self.file.len() <= DISK, "the folder is over its limit");
@@ -201,7 +218,11 @@
                 let new = Link { address: address.to_string(), until, ..Link::default() };
                 assert!(self.links.insert(link, new).is_none());
             }
-            Effect::Write { link, call } => self.write(link, call),
+            Effect::Write { link, call } => {
+                self.written += call.parts.len() as u64;
+                self.write(link, call);
+                return Some(Input::Written { link });
+            }
             Effect::Close { link } => return self.close(link, Cause::CalledOff),
             Effect::Post { notices, .. } => assert!(self.posting.replace(notices).is_none()),
             Effect::Follow { watch, from } => {
@@ -222,6 +243,7 @@
         assert!(link.up && link.call.is_none(), "one call at a time, on a connection that is up");
         let target = self.list.iter().find(|t| t.endpoint.to_string() == link.address).expect("listed");
         assert_eq!(target.state, State::InService, "nothing new to an endpoint that drains or is gone");
+        assert!(!self.out.contains(&target.uid), "nothing new to one that is out by hand");
         assert!(self.waits.get(&target.pod_group).is_none_or(|until| *until <= self.now), "a wait is kept");
         for txn in ids(&call) {
             let fate = self.fates.get_mut(txn).expect("handed in");
@@ -350,6 +372,7 @@
             self.may_have_run(&link);
         }
         self.tickets.clear();
+        (self.written, self.turned_away) = (0, 0);
         (self.posting, self.door_closed, self.exited) = (None, false, false);
         self.now += S;
         self.waits.clear();
@@ -392,18 +415,55 @@
                 let targets = vec![self.list[place].clone()];
                 self.news(targets);
             }
+            Step::Operator { which, out } => {
+                let uid = self.list[which % self.list.len()].uid.clone();
+                if self.operate(if out {
+                    console::Call::DisableServer(uid.clone())
+                } else {
+                    console::Call::EnableServer(uid.clone())
+                }) {
+                    if out {
+                        self.out.insert(uid)
+                    } else {
+                        self.out.remove(&uid)
+                    };
+                }
+            }
             Step::Kill => self.restart(),
             Step::Terminate => self.input(Input::Terminate),
         }
         if self.exited {
             self.restart();
         }
+        self.check_figures();
         // Now and then two steps fall between the module's turns.
         if !number.is_multiple_of(3) {
             self.wait(5_000);
         }
     }
 
+    /// An operator's call; whether the reply was a yes.
+    fn operate(&mut self, call: console::Call) -> bool {
+        let ticket = self.replies.keys().last().map_or(0, |ticket| ticket + 1);
+        self.input(Input::Operator { ticket, call });
+        matches!(self.replies[&ticket], Said::Yes(_))
+    }
+
+    /// Each message is counted once: what was taken has ended once or is still open.
+    fn check_figures(&self) {
+        let (figures, standing) = (self.reducer.figures(), self.reducer.standing());
+        assert_eq!(figures.open(), standing.concurrent as u64, "taken is ended and concurrent");
+        let ends: u64 = figures.ends().values().map(|ends| ends.all()).sum();
+        assert_eq!(ends, figures.taken() - figures.open() + self.turned_away);
+        assert_eq!(figures.dispatches(), self.written);
+        let (out, listed) = (|t: &&Target| self.out.contains(&t.uid), self.reducer.standing().targets);
+        let in_list = self.list.iter().filter(|t| t.state != State::Terminated);
+        assert_eq!(in_list.clone().count(), listed);
+        assert!(
+            in_list.filter(out).count() <= standing.targets_disabled && standing.targets_disabled <= listed
+        );
+    }
+
     /// All that was taken on has its end when its time is up.
     fn finish(&mut self) {
         for _ in 0..40 {
@@ -837,3 +897,52 @@
         );
     }
 }
+
+// Guards against an endpoint that comes back by itself: a list that drops it and names it again, a reload and a restart
+// leave it out, and one call back undoes two out. An id that nobody has named is a no.
+#[test]
+fn an_endpoint_out_by_hand_stays_out_until_the_call_back() {
+    let (out, back) =
+        (console::Call::DisableServer("s-c".to_owned()), console::Call::EnableServer("s-c".to_owned()));
+    let mut world = World::new();
+    assert!(
+        !world.operate(console::Call::DisableServer("s-x".to_owned()))
+            && !world.operate(console::Call::EnableServer("s-x".to_owned()))
+    );
+    assert!(world.operate(out.clone()) && world.operate(out.clone()));
+    world.out.insert("s-c".to_owned());
+    for state in [State::Terminated, State::InService] {
+        world.rev += 1;
+        world.list[2].state = state;
+        let targets = vec![world.list[2].clone()];
+        world.news(targets);
+    }
+    let text = common::config("127.0.0.1:1", "127.0.0.1:2", common::targets());
+    world.input(Input::Reconfigured(Box::new(Config::read(&text, None, None).expect("a configuration"))));
+    world.restart();
+    world.hand_in("m".to_owned(), true, 2, 10);
+    world.wait(2 * S);
+    assert!(world.links.is_empty(), "nothing is even dialled");
+    assert_eq!(world.reducer.standing().targets_disabled, 1);
+    assert!(world.operate(back.clone()) && world.operate(back));
+    world.out.clear();
+    world.wait(S);
+    assert_eq!(world.links.len(), 1, "one call back undoes both, and what has waited goes");
+    assert!(!world.operate(console::Call::Ready), "nobody listens for clients here");
+}
+
+// Guards against a destination pushed over by what has waited: its only endpoint was restarted while it was out, so a
+// trial call goes, and no crowd.
+#[test]
+fn an_endpoint_put_back_is_taken_for_cold() {
+    let mut world = World::new();
+    assert!(world.operate(console::Call::DisableServer("s-c".to_owned())));
+    for number in 0..10 {
+        world.hand_in(format!("m{number}"), true, 2, 10);
+    }
+    world.wait(S);
+    assert!(world.operate(console::Call::EnableServer("s-c".to_owned())));
+    world.wait(4 * S);
+    assert!(world.links.len() <= 1, "only a trial call goes");
+    assert_eq!(world.reducer.troubled().count(), 1);
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -29,6 +29,9 @@
         /// The folder that outlasts the process; it holds the journal.
         #[arg(long, env = "EDGE_STATE", value_name = "FOLDER")]
         state: PathBuf,
+        /// The descriptor on which the clients' listening socket was handed down, in place of binding the address.
+        #[arg(long, env = "EDGE_FD", value_name = "NUMBER")]
+        fd: Option<i32>,
         /// The form of the log, on standard error.
         #[arg(long, value_enum, default_value_t = LogForm::Text)]
         log: LogForm,
@@ -78,6 +81,9 @@
     /// Where discovery answers, in place of what the configuration says until that is read again (SIGHUP).
     #[arg(long, env = "EDGE_DISCOVERY", value_name = "ADDRESS:PORT")]
     discovery: Option<String>,
+    /// Where operators connect, in place of what the configuration says.
+    #[arg(long, env = "EDGE_CONSOLE", value_name = "ADDRESS:PORT")]
+    console: Option<String>,
     /// The installation's own settings, a Starlark script; read again with the configuration at SIGHUP.
     #[cfg(feature = "installations")]
     #[arg(long, value_name = "FILE")]
@@ -91,6 +97,7 @@
             path: self.config.ok_or_else(|| ConfigError::new(missing))?,
             listen: self.listen,
             discovery: self.discovery,
+            console: self.console,
             #[cfg(feature = "installations")]
             installation: self.settings.map(|path| Box::new(Script(path)) as Box<_>),
             #[cfg(not(feature = "installations"))]
@@ -136,9 +143,9 @@
 /// Does what the command line says. What goes wrong is said in one line.
 pub fn run() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { given, state, log } => {
+        Command::Serve { given, state, fd, log } => {
             log::start(log.into());
-            given.source().map_err(Into::into).and_then(|source| serve(source, &state))
+            given.source().map_err(Into::into).and_then(|source| serve(source, &state, fd))
         }
         Command::Check { given } => given.check(),
         #[cfg(feature = "installations")]
