Ask for the list within the grace of a drain, and in turn only after a refusal

A probe logged each call for the list: 300 forwarders asked about 20 a second for 15 s (FOLLOW_SHARE times the fleet, in Reducer::new and follow_pauses), the list changed at 3.96 s, and a forwarder that had not asked yet counts as told. Ruled out: turned away calls (no watch was lost or refused in any of 300 logs), a late re-check at the write (each of the requests came from a forwarder without a watch). Change: the first call, and one after a watch that served, comes within rules.drain_grace (at most 250 ms); after a refusal or a failure in turn as before, with a first bound of at most 4 s, since 6 s after it was told a change binds whoever has it.

--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -41,10 +41,12 @@
 const SECOND: Micros = 1_000_000;
 /// What a deferred client is told where the journal has no room: about when some messages will have ended.
 const NO_ROOM_PAUSE: Micros = SECOND;
-/// The list is asked for within so long for each forwarder of the fleet, at a start and when a watch is lost: a fleet
-/// started together, or cut off together, asks about twenty times a second at first. The bound doubles with each
-/// failure, so discovery that serves fewer is asked less until it serves.
+/// Discovery that turned a call away, or lost it, is asked again within so long for each forwarder of the fleet: a fleet
+/// cut off together asks about twenty times a second. The bound doubles with each failure, so discovery that serves
+/// fewer is asked less until it serves.
 const FOLLOW_SHARE: Micros = 50_000;
+/// That bound is at first no more than this: 6 s after it was told, a change of the list binds whoever has it or not.
+const FOLLOW_FIRST: Micros = 4 * SECOND;
 /// A fleet of one asks again within this.
 const FOLLOW_AGAIN: Micros = 250_000;
 /// Without the list for so many times the time allowed between calls, a forwarder asks again all the same.
@@ -62,11 +64,17 @@
 
 /// The first and the last bound of the pause before the list is asked for again, by the size of the fleet.
 fn follow_pauses(settings: &Settings) -> (Micros, Micros) {
-    let first = Micros::from(settings.fleet_size).saturating_mul(FOLLOW_SHARE).max(FOLLOW_AGAIN);
+    let first = Micros::from(settings.fleet_size).saturating_mul(FOLLOW_SHARE);
+    let first = first.clamp(FOLLOW_AGAIN, FOLLOW_FIRST);
     let most = settings.ask_every.max(0).saturating_mul(FOLLOW_LONGEST).max(FOLLOW_AGAIN);
     (first.min(most), most)
 }
 
+/// The first call for the list comes within this: nothing for a forwarder that is alone.
+fn follow_soon(settings: &Settings) -> Micros {
+    if settings.fleet_size > 1 { settings.drain_grace.clamp(0, FOLLOW_AGAIN) } else { 0 }
+}
+
 /// The state of one forwarder. See [`Reducer::step`].
 #[derive(Debug)]
 pub struct Reducer {
@@ -131,9 +139,10 @@
         let bounds = Bounds::new(&settings, config.limits);
         let (first, most) = follow_pauses(&settings);
         let mut follow_pause = Backoff::new(first, most, config.seed);
-        // Forwarders of a release start together. One that is alone waits for nobody.
-        let others = Micros::from(settings.fleet_size.saturating_sub(1)).saturating_mul(FOLLOW_SHARE);
-        let follow_at = now + follow_pause.within(others.min(most));
+        // A drain may have been told while there was no watch, and binds after its grace: the first call comes within
+        // that. Forwarders of a release start together; those that are turned away come in turn.
+        let soon = follow_soon(&settings);
+        let follow_at = now + follow_pause.within(soon);
         let mut reducer = Reducer {
             controller: Controller::new(settings.clone(), config.seed),
             events: Vec::new(),
@@ -243,14 +252,21 @@
             }
             Input::MapLost { watch, why, wait_ms } if watch == self.watch => {
                 self.log(format!("transport map: {why}; the last list stays in use"));
-                if now - self.followed_since >= FOLLOWED {
+                let served = now - self.followed_since >= FOLLOWED;
+                if served {
                     self.follow_pause.reset();
                 }
                 // After a wait that was told, those who were told the same still come one by one. One far beyond the
                 // pauses of a long failure is cut to them: a slip there would leave the forwarder with an old list.
                 let (_, most) = follow_pauses(&self.settings);
                 let told = told_wait::micros(wait_ms).min(most);
-                (self.following, self.follow_at) = (false, now + told + self.follow_pause.pause());
+                // One that served and ended is asked again as at a start; one that turned this forwarder away, in turn.
+                let pause = if served && told == 0 {
+                    self.follow_pause.within(follow_soon(&self.settings))
+                } else {
+                    self.follow_pause.pause()
+                };
+                (self.following, self.follow_at) = (false, now + told + pause);
             }
             // A watch before this one, that told more or ended as it was left.
             Input::News { .. } | Input::MapLost { .. } => {}
