Hand over from process to process by their journals in an upgrade

Started beside another, it takes clients and says yes, but its module has no slots. Told to end beside one that is ready, the elder writes that it has yielded, with the waits it was told: from that record on, what it has not out is the successor's, and each message whose attempt ends without delivery later. What a dead process left is taken up from its file once its lock is free, and the file removed when the records are in the successor's own. Slots, the folder's space, waits, lists, troubled destinations and operators' calls are those of both.

--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -4,11 +4,12 @@
 use crate::console;
 use crate::hop_call::{Call, HopError, Reply};
 use crate::pool::LinkId;
+use crate::reducer::Shown;
 use crate::source::Catalogue;
 use bytes::Bytes;
 use orchidyoke_core::interface::{DestinationId, Micros};
 use orchidyoke_core::transport_map::News;
-use orchidyoke_journal::Verdict;
+use orchidyoke_journal::{Generation, Verdict};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -75,6 +76,13 @@
     },
     /// Clients that connect are taken from now on.
     DoorOpen,
+    /// The file of another process on the folder has shown something.
+    Sibling(Shown),
+    /// The file of another process on the folder is gone.
+    SiblingGone {
+        /// Its number.
+        generation: Generation,
+    },
     /// An operator asks for something.
     Operator {
         /// The call that waits.
@@ -249,6 +257,14 @@
         /// The line.
         line: String,
     },
+    /// What the file of a process that has ended held is kept in this one's: remove it.
+    Retire {
+        /// Its number.
+        generation: Generation,
+    },
+    /// Take no new connections, look at no other process's file, and end each of the clients' connections with its next
+    /// answer: they are the successor's.
+    HandOver,
     /// Take no new connections, and close those of clients when what they have asked is answered.
     CloseDoor,
     /// End the process.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod serve;
 pub mod shutdown;
 pub mod source;
+pub mod succession;
 mod told_wait;
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -4,7 +4,7 @@
 use super::front::{Door, respond};
 use crate::input::Input;
 use crate::log;
-use hyper::header::CONNECTION;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -41,6 +41,8 @@
     /// What comes from clients that were refused goes here, and no further.
     sink: RefCell<Box<[u8]>>,
     ending: watch::Sender<bool>,
+    /// A successor takes the clients: each connection ends with its next answer.
+    moving: Cell<bool>,
 }
 
 impl Room {
@@ -52,6 +54,7 @@
             told: RefCell::default(),
             sink: RefCell::new(vec![0; 64 << 10].into()),
             ending: watch::Sender::new(false),
+            moving: Cell::new(false),
         })
     }
 
@@ -60,6 +63,11 @@
         self.ending.send_replace(true);
     }
 
+    /// A successor takes the clients: each connection says with its next answer that it closes.
+    pub fn move_on(&self) {
+        self.moving.set(true);
+    }
+
     /// Waits until another connection fits in, and sees to it that one does.
     async fn make_room(&self) {
         while self.crowd.borrow().is_full() {
@@ -128,8 +136,11 @@
         Box::pin(async move {
             member.room.crowd.borrow_mut().asks(member.id, Instant::now());
             let ending = *member.room.ending.borrow();
-            let response = respond(&member.door, request, ending).await;
+            let mut response = respond(&member.door, request, ending).await;
             member.refused.set(response.headers().contains_key(CONNECTION));
+            if member.room.moving.get() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             member.room.crowd.borrow_mut().answered(member.id, Instant::now());
             member.room.changed.notify_one();
             Ok::<_, Infallible>(response)
--- a/crates/node/src/reducer/attempts.rs
+++ b/crates/node/src/reducer/attempts.rs
@@ -7,7 +7,7 @@
 use crate::pool::{CallId, Claim, LinkId};
 use crate::told_wait;
 use orchidyoke_core::interface::{Answer, EndpointId, Event, Listed, MessageId, Micros, Outcome};
-use orchidyoke_journal::{Record, Trace, Verdict};
+use orchidyoke_journal::{Record, Stage, Trace, Verdict};
 
 /// A dial ends this long after the time that the module allows, which tells "silent" from "refused" by it.
 const DIAL_MARGIN: Micros = 1_000;
@@ -27,6 +27,13 @@
     begun: bool,
 }
 
+impl Flight {
+    /// Whether its record is in the journal: it may have been written.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+}
+
 /// What an answer tells beside the ends of its messages.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Told {
@@ -165,6 +172,10 @@
         {
             let until = self.waits.entry(hop.destination).or_default();
             *until = (*until).max(now.saturating_add(wait));
+            let record = Record::Wait { dest: hop.destination, until: *until };
+            if self.is_shared() || self.stage == Stage::Yielded {
+                self.append(&[(&record, b"")], None);
+            }
         }
         let ends = hop_call::ends(reply, &flight.txns);
         let mut ends: Vec<_> = flight.parts.iter().zip(ends).collect();
@@ -192,7 +203,8 @@
         let Some(flight) = self.flights.get_mut(&call) else { return };
         // An idle connection may close just as it is chosen. Nothing whole was written, so the same attempt
         // goes on a new connection; a refusal to connect would be laid to the next hop.
-        if error.never_ran() && !error.given_up() && std::mem::take(&mut flight.reused) {
+        let goes_on = self.stage != Stage::Yielded;
+        if goes_on && error.never_ran() && !error.given_up() && std::mem::take(&mut flight.reused) {
             let link = self.pool.dial(flight.hop, call);
             return self.dial(now, call, link);
         }
@@ -246,6 +258,9 @@
                 let out = message.taken.out.take().filter(|_| !never_ran);
                 message.taken.ran = message.taken.ran.take().or(out);
             }
+            if self.stage == Stage::Yielded {
+                self.hand_over(id);
+            }
         }
         self.events.push(Event::Outcome(Answer {
             id,
--- a/crates/node/src/reducer/hops.rs
+++ b/crates/node/src/reducer/hops.rs
@@ -38,12 +38,15 @@
         (self.discovery, self.catalogue) = (discovery.file, catalogue);
         let bounds = Bounds::new(&settings, limits);
         self.pool.bound(settings.idle_close, bounds.links);
-        self.space.limit(bounds.disk);
+        self.disk = bounds.disk;
+        self.share_space();
         self.recent.bound(bounds.recent);
         let (first, most) = follow_pauses(&settings);
         self.follow_pause.bound(first, most);
-        (self.settings, self.names) = (settings.clone(), names);
+        (self.settings, self.names) = (settings, names);
         self.figures.name(&self.names.classes);
+        let settings = self.module_settings();
+        self.slots = settings.slots;
         self.events.push(Event::Settings(Box::new(settings)));
         // The numbers of zones and kinds may have changed.
         let whole = self.map.whole();
--- a/crates/node/src/reducer/messages.rs
+++ b/crates/node/src/reducer/messages.rs
@@ -5,7 +5,7 @@
 use crate::input::{DoorAnswer, Handed, Ticket};
 use bytes::Bytes;
 use orchidyoke_core::interface::{EndpointId, Event, MessageId, Micros};
-use orchidyoke_journal::{Record, Taken, Verdict};
+use orchidyoke_journal::{Record, Stage, Taken, Trace, Verdict};
 
 /// One message from its coming to its end.
 #[derive(Debug)]
@@ -43,6 +43,9 @@
             }
             return;
         }
+        if self.is_elsewhere(&handed.txn) {
+            return self.answer(ticket, DoorAnswer::TakenOn);
+        }
         let class = self.names.classes.iter().position(|class| *class == handed.class);
         let Some(class) = class.and_then(|class| self.settings.classes.get(class)) else {
             return self.answer(ticket, DoorAnswer::UnknownClass);
@@ -78,15 +81,18 @@
         taken.ran = taken.ran.take().or(taken.out.take());
         taken.out = None;
         let attempts = taken.attempts;
-        let may_have_run = taken.ran.as_ref().map(|trace| {
-            let hop = self.hop_numbers.get(&trace.uid).copied().unwrap_or(EndpointId::MAX);
-            ((now - trace.at).max(0), hop)
-        });
+        let may_have_run = taken.ran.as_ref().map(|trace| self.trace_of(now, trace));
         self.figures.took(1);
         let id = self.hold(Message { taken, body, waiting: Vec::new(), stored: true }, now, false);
         self.events.push(Event::History { id, attempts, may_have_run });
     }
 
+    /// How long ago an attempt began, and where.
+    pub(super) fn trace_of(&self, now: Micros, trace: &Trace) -> (Micros, EndpointId) {
+        let hop = self.hop_numbers.get(&trace.uid).copied().unwrap_or(EndpointId::MAX);
+        ((now - trace.at).max(0), hop)
+    }
+
     pub(super) fn hold(&mut self, message: Message, now: Micros, repeat: bool) -> MessageId {
         let id = self.next_message;
         self.next_message += 1;
@@ -137,6 +143,9 @@
             }
             let answer = if stored { DoorAnswer::TakenOn } else { DoorAnswer::Deferred(NO_ROOM_PAUSE) };
             tickets.into_iter().for_each(|ticket| self.answer(ticket, answer));
+            if stored && self.stage == Stage::Yielded {
+                self.hand_over(id);
+            }
         }
     }
 
--- a/crates/node/src/reducer/mod.rs
+++ b/crates/node/src/reducer/mod.rs
@@ -12,6 +12,7 @@
 mod operators;
 mod records;
 mod stop;
+mod succession;
 
 use crate::backoff::Backoff;
 use crate::config::Config;
@@ -31,12 +32,14 @@
 };
 use orchidyoke_core::settings::Names;
 use orchidyoke_core::transport_map::{News, TransportMap};
-use orchidyoke_journal::{Entries, Record, Space, Verdict};
+use orchidyoke_journal::{Entries, Generation, Record, Space, Stage, Verdict};
 use records::{Bounds, replay};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use stop::Leaving;
+pub use succession::Shown;
+use succession::{Estate, Sibling};
 
 const SECOND: Micros = 1_000_000;
 /// What a deferred client is told where the journal has no room: about when some messages will have ended.
@@ -59,6 +62,8 @@
 enum Stored {
     TakeOn(Vec<(MessageId, Vec<Ticket>)>),
     Begin(CallId),
+    Adopted(Estate),
+    Yielded,
     ByHand { ticket: Ticket, uid: String, call: ByHand },
 }
 
@@ -126,14 +131,29 @@
     takes_clients: bool,
     /// What operators have said of endpoints.
     overlay: Overlay,
+    /// Number of this process's file, how far the process is, and the other processes on the folder.
+    generation: Generation,
+    stage: Stage,
+    siblings: BTreeMap<Generation, Sibling>,
+    /// The slots that the module was told of.
+    slots: usize,
+    /// The limit of the folder.
+    disk: usize,
     figures: Figures,
     leaving: Option<Leaving>,
     effects: Vec<Effect>,
 }
 
 impl Reducer {
-    /// A forwarder at its start, with what its journal holds; `journal_size` is the bytes in it.
-    pub fn new(config: Config, records: Entries, journal_size: usize, now: Micros) -> Self {
+    /// A forwarder at its start, with what its journal holds: `generation` is the number of that file, and
+    /// `journal_size` the bytes in it.
+    pub fn new(
+        config: Config,
+        generation: Generation,
+        records: Entries,
+        journal_size: usize,
+        now: Micros,
+    ) -> Self {
         let settings = config.settings;
         let left = replay(records);
         let bounds = Bounds::new(&settings, config.limits);
@@ -181,6 +201,11 @@
             senders: 0,
             takes_clients: false,
             overlay: left.overlay,
+            generation,
+            stage: Stage::Started,
+            siblings: BTreeMap::new(),
+            slots: settings.slots,
+            disk: bounds.disk,
             figures: Figures::default(),
             leaving: None,
             effects: Vec::new(),
@@ -207,7 +232,8 @@
             reducer.restore(taken, body, now);
         }
         // Only now: an append may need a rewrite, which holds what the reducer holds.
-        reducer.append(&[(&Record::Map(newest), b"")], None);
+        let started = Record::Stage { stage: Stage::Started };
+        reducer.append(&[(&started, b""), (&Record::Map(newest), b"")], None);
         reducer
     }
 
@@ -223,6 +249,8 @@
                 self.space.holds(size);
                 match self.stored.remove(&receipt) {
                     Some(Stored::TakeOn(taken)) => self.taken_on(taken, stored),
+                    Some(Stored::Adopted(estate)) => self.adopted(now, estate, stored),
+                    Some(Stored::Yielded) => self.yielded(stored),
                     Some(Stored::Begin(call)) => self.write(now, call, stored),
                     Some(Stored::ByHand { ticket, uid, call }) => {
                         self.put_stored(now, ticket, &uid, call, stored);
@@ -235,7 +263,9 @@
                     self.begin(now, call, link);
                 }
             }
-            Input::DoorOpen => self.takes_clients = true,
+            Input::DoorOpen => self.open_door(),
+            Input::Sibling(shown) => self.shown(now, shown),
+            Input::SiblingGone { generation } => self.sibling_gone(generation),
             Input::Operator { ticket, call } => self.operate(now, ticket, call),
             Input::Written { link } => self.written(link),
             Input::Answered { link, reply, reusable } => self.answered(now, link, &reply, reusable),
@@ -307,6 +337,12 @@
         }
     }
 
+    /// Clients that connect are taken: the process before may be told to end.
+    fn open_door(&mut self) {
+        self.append(&[(&Record::Stage { stage: Stage::Ready }, b"")], None);
+        (self.takes_clients, self.stage) = (true, Stage::Ready);
+    }
+
     fn log(&mut self, line: String) {
         self.effects.push(Effect::Log { line });
     }
--- a/crates/node/src/reducer/operators.rs
+++ b/crates/node/src/reducer/operators.rs
@@ -33,8 +33,7 @@
 impl Overlay {
     /// Takes in a call; whether it is news: one that lies further back than what is known is not.
     pub fn take(&mut self, uid: &str, call: ByHand) -> bool {
-        let known = self.calls.get(uid);
-        if known.is_some_and(|known| known.at > call.at || known == &call) || known.is_none() && !call.out {
+        if !self.is_news(uid, call) {
             return false;
         }
         if self.calls.insert(uid.to_owned(), call).is_none() {
@@ -43,6 +42,11 @@
         true
     }
 
+    /// Whether a call changes anything.
+    pub fn is_news(&self, uid: &str, call: ByHand) -> bool {
+        self.calls.get(uid).map_or(call.out, |known| known.at <= call.at && *known != call)
+    }
+
     pub fn is_out(&self, uid: &str) -> bool {
         self.calls.get(uid).is_some_and(|call| call.out)
     }
--- a/crates/node/src/reducer/records.rs
+++ b/crates/node/src/reducer/records.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use orchidyoke_core::interface::{DestinationId, Micros, Settings};
 use orchidyoke_core::transport_map::TransportMap;
-use orchidyoke_journal::{Entries, Record, Taken, Verdict};
+use orchidyoke_journal::{Entries, Record, Stage, Taken, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -30,8 +30,8 @@
     }
 }
 
-/// What was left of a message by the journal.
-#[derive(Default)]
+/// What a journal says, as far as it was read.
+#[derive(Debug, Default)]
 pub(super) struct Replayed {
     pub taken: BTreeMap<String, (Taken, Bytes)>,
     pub owed: Vec<(String, Verdict, Micros)>,
@@ -40,56 +40,73 @@
     pub troubled: BTreeSet<DestinationId>,
     pub superseded: Option<SocketAddr>,
     pub overlay: Overlay,
+    pub stage: Stage,
 }
 
+/// Ids that are over are kept of another process's file up to twice so many.
+const OVER_KEPT: usize = 4096;
+
 pub(super) fn replay(records: Entries) -> Replayed {
     let mut left = Replayed::default();
     for (record, body) in records {
+        left.take(record, body);
+    }
+    left
+}
+
+impl Replayed {
+    /// The next record of the file.
+    pub fn take(&mut self, record: Record, body: Bytes) {
         match record {
             Record::Taken(taken) => {
-                left.taken.insert(taken.txn.clone(), (taken, body));
+                self.taken.insert(taken.txn.clone(), (taken, body));
             }
             Record::Begun { txns, trace } => {
                 for txn in txns {
-                    if let Some((taken, _)) = left.taken.get_mut(&txn) {
+                    if let Some((taken, _)) = self.taken.get_mut(&txn) {
                         (taken.attempts, taken.out) = (taken.attempts + 1, Some(trace.clone()));
                     }
                 }
             }
             Record::Ran { txn } => {
-                if let Some((taken, _)) = left.taken.get_mut(&txn) {
+                if let Some((taken, _)) = self.taken.get_mut(&txn) {
                     taken.ran = taken.ran.take().or(taken.out.take());
                     taken.out = None;
                 }
             }
             Record::Unseen { txn } => {
-                if let Some((taken, _)) = left.taken.get_mut(&txn) {
+                if let Some((taken, _)) = self.taken.get_mut(&txn) {
                     taken.out = None;
                 }
             }
             Record::Missed { txn } => {
-                if let Some((taken, _)) = left.taken.get_mut(&txn) {
+                if let Some((taken, _)) = self.taken.get_mut(&txn) {
                     taken.attempts += 1;
                 }
             }
             Record::Owed { txn, at, verdict } => {
-                left.taken.remove(&txn);
-                left.owed.push((txn, verdict, at));
+                self.taken.remove(&txn);
+                self.owed.push((txn, verdict, at));
             }
             Record::Over { txn, at } => {
-                left.taken.remove(&txn);
-                left.owed.retain(|(other, _, _)| *other != txn);
-                left.over.push((txn, at));
+                self.taken.remove(&txn);
+                self.owed.retain(|(other, _, _)| *other != txn);
+                self.over.push((txn, at));
+                if self.over.len() > 2 * OVER_KEPT {
+                    self.over.drain(..OVER_KEPT);
+                }
             }
-            Record::Map(news) => left.map.take(&news),
-            Record::Superseded { discovery } => left.superseded = Some(discovery),
+            Record::Map(news) => self.map.take(&news),
+            Record::Superseded { discovery } => self.superseded = Some(discovery),
             Record::ByHand { uid, at, out } => {
-                left.overlay.take(&uid, ByHand { at, out });
+                self.overlay.take(&uid, ByHand { at, out });
             }
-            Record::Troubled { dests } => left.troubled = dests.into_iter().collect(),
+            // Told to this process by another that has ended since: a restart ends it.
+            Record::Wait { .. } => {}
+            Record::Stage { stage } => self.stage = stage,
+            Record::Troubled { dests } => self.troubled = dests.into_iter().collect(),
         }
     }
-    left
 }
 
 impl Reducer {
@@ -97,7 +114,8 @@
     pub(super) fn append(&mut self, records: &[(&Record, &[u8])], then: Option<Stored>) {
         let mut bytes = BytesMut::new();
         records.iter().for_each(|(record, body)| record.encode(body, &mut bytes));
-        if self.space.is_short(self.live_size(), bytes.len()) {
+        // What has yielded is read by the successor as it grows, and stays as it is.
+        if self.stage != Stage::Yielded && self.space.is_short(self.live_size(), bytes.len()) {
             let all = self.snapshot();
             self.space.holds(all.len());
             self.effects.push(Effect::Rewrite { bytes: all });
@@ -122,6 +140,7 @@
     pub(super) fn snapshot(&self) -> Bytes {
         let mut bytes = BytesMut::new();
         Record::Map(self.map.whole()).encode(b"", &mut bytes);
+        Record::Stage { stage: self.stage }.encode(b"", &mut bytes);
         Record::Troubled { dests: self.troubled.iter().copied().collect() }.encode(b"", &mut bytes);
         if let Some(discovery) = self.superseded {
             Record::Superseded { discovery }.encode(b"", &mut bytes);
--- a/crates/node/src/reducer/stop.rs
+++ b/crates/node/src/reducer/stop.rs
@@ -39,6 +39,9 @@
         if self.leaving.is_none() {
             self.leaving = Some(Leaving::new(now));
             self.events.push(Event::Closing { time_left: LEAVE_AFTER });
+            if self.is_successor_ready() {
+                self.yield_up(now);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/node/src/reducer/succession.rs
@@ -0,0 +1,327 @@
+//! Two processes, one forwarder: what this process learns from the journals of others in its folder, and what passes
+//! from one that ends to the one that was started in its place.
+//!
+//! Each process writes its own file and reads those of the others. A message belongs to the process whose file has it,
+//! until that file says that the process has yielded, or the process is gone. Only then does another write it into its
+//! own, and only what is in its own file does a process send. So at each moment, and over a kill at any of them, one
+//! process alone may begin an attempt for a message.
+
+use super::messages::Message;
+use super::operators::ByHand;
+use super::records::Replayed;
+use super::{Reducer, Stored};
+use crate::input::Effect;
+use bytes::Bytes;
+use orchidyoke_core::interface::{Event, ListForm, MessageId, Micros, Settings};
+use orchidyoke_journal::{Entries, Generation, Record, Stage, Taken, Verdict};
+use std::collections::BTreeSet;
+
+/// Another process on this folder, as its file tells of it.
+#[derive(Debug, Default)]
+pub(super) struct Sibling {
+    left: Replayed,
+    size: usize,
+    ended: bool,
+}
+
+impl Sibling {
+    /// Whether it begins no more attempts.
+    fn has_stopped(&self) -> bool {
+        self.ended || self.left.stage == Stage::Yielded
+    }
+
+    /// Whether the message is, or was, this process's own.
+    fn knows(&self, txn: &str) -> bool {
+        self.left.taken.contains_key(txn)
+            || self.left.owed.iter().any(|(other, ..)| other == txn)
+            || self.left.over.iter().any(|(other, _)| other == txn)
+    }
+
+    /// Its calls that are out.
+    fn calls_out(&self) -> usize {
+        let out = self.left.taken.values().filter_map(|(taken, _)| taken.out.as_ref());
+        out.map(|trace| (trace.at, &trace.uid)).collect::<BTreeSet<_>>().len()
+    }
+}
+
+/// What is taken over from another process at once.
+#[derive(Debug)]
+pub(super) struct Estate {
+    generation: Generation,
+    taken: Vec<(Taken, Bytes)>,
+    owed: Vec<(String, Verdict, Micros)>,
+    over: Vec<(String, Micros)>,
+    /// The process has ended, and this is all that it left.
+    whole: bool,
+}
+
+/// What another process's file has shown; see [`Input::Sibling`](crate::input::Input::Sibling).
+#[derive(Debug)]
+pub struct Shown {
+    /// Number of its file.
+    pub generation: Generation,
+    /// The file was rewritten: the records begin anew.
+    pub anew: bool,
+    /// What has come since the last look.
+    pub records: Entries,
+    /// Bytes in the file.
+    pub size: usize,
+    /// The process has ended, and its file is this process's to take up.
+    pub ended: bool,
+}
+
+impl Reducer {
+    /// Another process's file has shown something.
+    pub(super) fn shown(&mut self, now: Micros, shown: Shown) {
+        let Shown { generation, anew, records, size, ended } = shown;
+        let held = self.is_held();
+        let sibling = self.siblings.entry(generation).or_default();
+        if anew {
+            sibling.left = Replayed::default();
+        }
+        (sibling.size, sibling.ended) = (size, ended);
+        let mut calls = Vec::new();
+        let mut waits = Vec::new();
+        for (record, body) in records {
+            match &record {
+                Record::ByHand { uid, at, out } => calls.push((uid.clone(), ByHand { at: *at, out: *out })),
+                Record::Wait { dest, until } => waits.push((*dest, *until)),
+                _ => {}
+            }
+            sibling.left.take(record, body);
+        }
+        for (uid, call) in
+            calls.into_iter().filter(|(uid, call)| self.overlay.is_news(uid, *call)).collect::<Vec<_>>()
+        {
+            let record = Record::ByHand { uid: uid.clone(), at: call.at, out: call.out };
+            self.append(&[(&record, b"")], None);
+            self.by_hand(now, &uid, call);
+        }
+        for (destination, until) in waits.into_iter().filter(|(_, until)| *until > now) {
+            let known = self.waits.entry(destination).or_default();
+            *known = (*known).max(until);
+            self.events.push(Event::Known { destination, out: false, wait: until - now });
+        }
+        self.take_newer_list(now, generation);
+        if self.is_successor_ready() && self.leaving.is_some() {
+            self.yield_up(now);
+        }
+        self.settle(held);
+    }
+
+    /// Another process's file is gone: a third has taken it up.
+    pub(super) fn sibling_gone(&mut self, generation: Generation) {
+        let held = self.is_held();
+        self.siblings.remove(&generation);
+        self.settle(held);
+    }
+
+    /// What follows from what the others have shown.
+    fn settle(&mut self, held: bool) {
+        self.share_space();
+        if held && !self.is_held() {
+            self.log("succession: the process before has stopped, this one goes on".to_owned());
+            for (_, elder) in self.siblings.range(..self.generation) {
+                let known = |d: &u64| Event::Known { destination: *d, out: true, wait: 0 };
+                self.events.extend(elder.left.troubled.iter().map(known));
+            }
+        }
+        for generation in self.siblings.keys().copied().collect::<Vec<_>>() {
+            self.adopt(generation);
+        }
+        self.tell_slots();
+    }
+
+    /// Whether a process before this one still begins attempts: until it has stopped, this one begins none.
+    pub(super) fn is_held(&self) -> bool {
+        self.siblings.range(..self.generation).any(|(_, elder)| !elder.has_stopped())
+    }
+
+    /// Whether a process after this one runs and takes clients.
+    pub(super) fn is_successor_ready(&self) -> bool {
+        let mut later = self.siblings.range(self.generation + 1..);
+        later.any(|(_, sibling)| !sibling.ended && sibling.left.stage == Stage::Ready)
+    }
+
+    /// Whether another process runs that what this one is told has to reach.
+    pub(super) fn is_shared(&self) -> bool {
+        self.siblings.values().any(|sibling| !sibling.ended)
+    }
+
+    /// Whether another process holds the message, or has ended it.
+    pub(super) fn is_elsewhere(&self, txn: &str) -> bool {
+        self.siblings.values().any(|sibling| sibling.knows(txn))
+    }
+
+    /// The settings as the module is to have them: the slots are those of all processes together.
+    pub(super) fn module_settings(&self) -> Settings {
+        let stopped = self.stage == Stage::Yielded || self.is_held();
+        let elders = self.siblings.range(..self.generation).filter(|(_, elder)| !elder.ended);
+        let taken: usize = elders.map(|(_, elder)| elder.calls_out()).sum();
+        let slots = if stopped { 0 } else { self.settings.slots.saturating_sub(taken).max(1) };
+        Settings { slots, ..self.settings.clone() }
+    }
+
+    pub(super) fn tell_slots(&mut self) {
+        let settings = self.module_settings();
+        if settings.slots != self.slots {
+            self.slots = settings.slots;
+            self.events.push(Event::Settings(Box::new(settings)));
+        }
+    }
+
+    /// The folder's limit is for all files together.
+    pub(super) fn share_space(&mut self) {
+        let others: usize = self.siblings.values().map(|sibling| sibling.size).sum();
+        let own = self.disk.saturating_sub(others);
+        // A successor needs room at once: the one before it has its file rewritten.
+        let later = self.siblings.range(self.generation + 1..).any(|(_, sibling)| !sibling.ended);
+        self.space.limit(if later { own.min(self.disk / 2) } else { own });
+    }
+
+    /// A list that another process has heard binds here too.
+    fn take_newer_list(&mut self, now: Micros, generation: Generation) {
+        let Some(sibling) = self.siblings.get(&generation) else { return };
+        let map = &sibling.left.map;
+        if map.origin() == self.map.origin() && map.rev() > self.map.rev() {
+            let whole = map.whole();
+            self.append(&[(&Record::Map(whole.clone()), b"")], None);
+            self.take_list(now, &whole, ListForm::Whole);
+        }
+    }
+
+    /// Takes over what another process no longer owns, once it is in this one's file.
+    fn adopt(&mut self, generation: Generation) {
+        let Some(sibling) = self.siblings.get(&generation) else { return };
+        let whole = sibling.ended;
+        let inherits = whole || generation < self.generation && sibling.has_stopped() && !self.is_held();
+        if self.stage == Stage::Yielded || !inherits {
+            return;
+        }
+        let later = |txn: &str| self.siblings.range(generation + 1..).any(|(_, other)| other.knows(txn));
+        let known = |txn: &str| self.recent.contains(txn) || self.owed.contains(txn) || later(txn);
+        let free = sibling.left.taken.values().filter(|(taken, _)| whole || taken.out.is_none());
+        let taken: Vec<_> = free.filter(|(taken, _)| !known(&taken.txn)).cloned().collect();
+        let (mut owed, mut over) = (Vec::new(), Vec::new());
+        if whole {
+            owed = sibling.left.owed.iter().filter(|(txn, ..)| !known(txn)).cloned().collect();
+            over = sibling.left.over.iter().filter(|(txn, _)| !known(txn)).cloned().collect();
+        }
+        if taken.is_empty() && !whole {
+            return;
+        }
+        let ends = owed.iter().map(|(txn, verdict, at)| {
+            let (txn, at, verdict) = (txn.clone(), *at, *verdict);
+            (Record::Owed { txn, at, verdict }, Bytes::new())
+        });
+        let ended = over.iter().map(|(txn, at)| (Record::Over { txn: txn.clone(), at: *at }, Bytes::new()));
+        let held = taken.iter().map(|(taken, body)| (Record::Taken(taken.clone()), body.clone()));
+        let records: Vec<_> = ended.chain(ends).chain(held).collect();
+        let records: Vec<(&Record, &[u8])> =
+            records.iter().map(|(record, body)| (record, &body[..])).collect();
+        let estate = Estate { generation, taken, owed, over, whole };
+        self.append(&records, Some(Stored::Adopted(estate)));
+    }
+
+    /// What another process left is in this one's file, or could not be: then it stays where it is for now.
+    pub(super) fn adopted(&mut self, now: Micros, estate: Estate, stored: bool) {
+        let Estate { generation, taken, owed, over, whole } = estate;
+        if !stored {
+            return self.log(format!("succession: no room yet for {} messages", taken.len()));
+        }
+        for (txn, at) in over {
+            self.recent.remember(txn, at);
+        }
+        for (txn, verdict, at) in owed {
+            self.owed.push(txn, verdict, at);
+        }
+        let count = taken.len();
+        for (taken, body) in taken {
+            if let Some(sibling) = self.siblings.get_mut(&generation) {
+                sibling.left.taken.remove(&taken.txn);
+            }
+            match self.by_txn.get(&taken.txn).copied() {
+                Some(id) => self.join(now, id, taken),
+                None => self.restore(taken, Bytes::copy_from_slice(&body), now),
+            }
+        }
+        if count > 0 {
+            self.log(format!("succession: {count} messages taken over from process {generation}"));
+        }
+        if whole {
+            self.siblings.remove(&generation);
+            self.effects.push(Effect::Retire { generation });
+            self.share_space();
+            self.tell_slots();
+        }
+    }
+
+    /// A client handed the same message to both: what has become of it there counts here.
+    fn join(&mut self, now: Micros, id: MessageId, other: Taken) {
+        let Some(Message { taken, stored, .. }) = self.messages.get_mut(&id) else { return };
+        if !std::mem::replace(stored, true) {
+            self.figures.took(1);
+        }
+        taken.attempts += other.attempts;
+        taken.ran = taken.ran.take().or(other.ran).or(other.out);
+        let (attempts, ran) = (taken.attempts, taken.ran.clone());
+        let may_have_run = ran.map(|trace| self.trace_of(now, &trace));
+        self.events.push(Event::History { id, attempts, may_have_run });
+    }
+
+    /// Told to end beside a successor that takes clients: hands over what is not out.
+    pub(super) fn yield_up(&mut self, now: Micros) {
+        if self.stage == Stage::Yielded {
+            return;
+        }
+        let waits = self.waits.iter().filter(|(_, until)| **until > now);
+        let mut records: Vec<_> =
+            waits.map(|(dest, until)| Record::Wait { dest: *dest, until: *until }).collect();
+        records.push(Record::Stage { stage: Stage::Yielded });
+        let records: Vec<(&Record, &[u8])> = records.iter().map(|record| (record, &b""[..])).collect();
+        self.append(&records, Some(Stored::Yielded));
+    }
+
+    /// It stands in the journal that this process has yielded: the successor may begin at once.
+    pub(super) fn yielded(&mut self, stored: bool) {
+        if !stored {
+            return self
+                .log("succession: could not be handed over, the successor waits for the end".to_owned());
+        }
+        self.stage = Stage::Yielded;
+        self.takes_clients = false;
+        self.effects.push(Effect::HandOver);
+        let unbegun: Vec<_> =
+            self.flights.iter().filter(|(_, f)| !f.has_begun()).map(|(call, _)| *call).collect();
+        for call in unbegun {
+            self.flights.remove(&call);
+            if let Some(link) = self.pool.link_of(call) {
+                self.pool.closed(link);
+                self.effects.push(Effect::Close { link });
+            }
+        }
+        for hop in self.hops.keys().copied().collect::<Vec<_>>() {
+            self.close_idle(hop);
+        }
+        let free = self.messages.iter().filter(|(_, message)| message.stored && message.taken.out.is_none());
+        let free: Vec<MessageId> = free.map(|(id, _)| *id).collect();
+        self.log(format!(
+            "succession: {} messages handed over, {} calls out",
+            free.len(),
+            self.flights.len()
+        ));
+        for id in free {
+            self.hand_over(id);
+        }
+        self.tell_slots();
+    }
+
+    /// The successor's from here on. Who hands it in once more is told that it was taken on.
+    pub(super) fn hand_over(&mut self, id: MessageId) {
+        if let Some(message) = self.drop_message(id) {
+            self.figures.handed_over();
+            self.recent.remember(message.taken.txn, self.last_turn);
+            self.events.push(Event::Hangup { id });
+        }
+    }
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -8,13 +8,14 @@
 use super::reducer::Reducer;
 use super::reload::{Reloads, Source};
 use super::shutdown::Signals;
+use super::succession::Siblings;
 use super::{discovery, inherited, notices};
 use crate::input::{Effect, Following, Input, WatchId};
 use crate::log;
 use crate::source::Teller;
 use bytes::Bytes;
 use orchidyoke_core::interface::Micros;
-use orchidyoke_journal::Journal;
+use orchidyoke_journal::{Journal, Opened};
 use std::collections::{HashMap, VecDeque};
 use std::error::Error;
 use std::net::SocketAddr;
@@ -58,6 +59,8 @@
     links: HashMap<LinkId, UnboundedSender<Order>>,
     inputs: UnboundedSender<Input>,
     room: Rc<Room>,
+    /// The other processes on the folder.
+    siblings: Siblings,
     /// The task that follows discovery's list, once there is one.
     watch: Option<AbortHandle>,
     /// The task that takes connections, once there is one.
@@ -98,6 +101,12 @@
             }
             Effect::Follow { watch, from } => self.follow(watch, from),
             Effect::Log { line } => log!("{line}"),
+            Effect::Retire { generation } => self.siblings.retire(generation),
+            Effect::HandOver => {
+                self.listening.take().iter().for_each(AbortHandle::abort);
+                self.siblings.end();
+                self.room.move_on();
+            }
             Effect::CloseDoor => {
                 self.listening.take().iter().for_each(AbortHandle::abort);
                 self.room.end();
@@ -131,7 +140,13 @@
         if let Input::LinkClosed { link, .. } = &input {
             self.links.remove(link);
         }
-        let mut inputs = VecDeque::from([input]);
+        // What depends on what another process holds is decided on with its file as it is now.
+        let mut inputs = VecDeque::from(match input {
+            Input::Terminate => self.siblings.all(),
+            Input::Handed { .. } | Input::Operator { .. } => self.siblings.look(),
+            _ => Vec::new(),
+        });
+        inputs.push_back(input);
         while let Some(input) = inputs.pop_front() {
             for effect in reducer.step(self.clock.now(), input) {
                 inputs.extend(self.carry_out(effect));
@@ -159,11 +174,13 @@
     let clock = Clock::start();
     let (inputs, mut came) = unbounded_channel();
     let opened = Journal::open(state);
-    let (journal, records, size) = opened.map_err(|e| format!("{}: {e}", state.display()))?;
+    let Opened { journal, records, others } = opened.map_err(|e| format!("{}: {e}", state.display()))?;
+    let (generation, size) = (journal.generation(), journal.size());
+    let siblings = Siblings::new(state, generation, others, inherited.is_some());
     let (listen, console_at) = (config.listen, config.console);
     let most_clients = config.limits.sockets / 2;
     log!("{} starts: {} records in its journal", config.name, records.len());
-    let mut reducer = Reducer::new(config, records, size, clock.now());
+    let mut reducer = Reducer::new(config, generation, records, size, clock.now());
     let door = Door::new(inputs.clone());
     let console = Console::new(inputs.clone());
     let room = Room::new(most_clients);
@@ -175,11 +192,15 @@
         links: HashMap::new(),
         inputs: inputs.clone(),
         room: room.clone(),
+        siblings,
         watch: None,
         listening: None,
         ending: false,
     };
     // What was left over is decided on before anyone is told that the forwarder is ready.
+    for input in hands.siblings.look() {
+        hands.take(&mut reducer, input);
+    }
     hands.take(&mut reducer, Input::Alarm);
     let listener = match inherited {
         Some(inherited) => TcpListener::from_std(inherited)?,
@@ -210,10 +231,10 @@
 /// Waits for what comes next, takes in all that is there, and lets the reducer decide when its time has come.
 async fn step(hands: &mut Hands, reducer: &mut Reducer, came: &mut UnboundedReceiver<Input>) {
     let clock = hands.clock;
-    let alarm = reducer.wake_at();
+    let (alarm, look) = (reducer.wake_at(), hands.siblings.wake_at());
     let wait = async {
-        match alarm {
-            Some(at) => sleep_until(clock.instant(at)).await,
+        match alarm.map(|at| clock.instant(at)).into_iter().chain(look).min() {
+            Some(at) => sleep_until(at).await,
             None => std::future::pending().await,
         }
     };
@@ -222,6 +243,9 @@
         Some(input) = came.recv() => hands.take(reducer, input),
         () = wait => {}
     }
+    for input in hands.siblings.due() {
+        hands.take(reducer, input);
+    }
     while let Ok(input) = came.try_recv() {
         hands.take(reducer, input);
     }
--- /dev/null
+++ b/crates/node/src/succession.rs
@@ -0,0 +1,138 @@
+//! The files of other processes on the folder, looked at in time: what they show comes in as inputs.
+
+use crate::input::Input;
+use crate::log;
+use crate::reducer::Shown;
+use orchidyoke_journal::{Generation, Other, others};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// While there is another process its file is looked at so often: what it hands over waits for no longer.
+const LOOK: Duration = Duration::from_millis(10);
+/// How often the folder is looked through for a process that was not there before.
+const SCAN: Duration = Duration::from_millis(100);
+
+/// One of them, and what was last told of it.
+struct Known {
+    other: Other,
+    size: usize,
+    ended: bool,
+}
+
+/// All of them.
+pub struct Siblings {
+    folder: PathBuf,
+    own: Generation,
+    known: Vec<Known>,
+    /// Others may come: whoever started this process holds the clients' socket for them too.
+    expected: bool,
+    scan_at: Instant,
+    look_at: Instant,
+    over: bool,
+}
+
+impl Siblings {
+    /// Those found at the start; more may come where they are expected.
+    pub fn new(folder: &Path, own: Generation, found: Vec<Other>, expected: bool) -> Self {
+        let (folder, now) = (folder.to_owned(), Instant::now());
+        let known = found.into_iter().map(|other| Known { other, size: 0, ended: false }).collect();
+        Siblings { folder, own, known, expected, scan_at: now, look_at: now, over: false }
+    }
+
+    /// When there is next something to look at.
+    pub fn wake_at(&self) -> Option<Instant> {
+        let look = (!self.known.is_empty()).then_some(self.look_at);
+        let scan = self.expected.then_some(self.scan_at);
+        look.into_iter().chain(scan).min().filter(|_| !self.over)
+    }
+
+    /// What has shown since the last look, as far as one is due.
+    pub fn due(&mut self) -> Vec<Input> {
+        let now = Instant::now();
+        if self.over || self.wake_at().is_none_or(|at| at > now) {
+            return Vec::new();
+        }
+        if self.expected && self.scan_at <= now {
+            self.scan();
+        }
+        self.look()
+    }
+
+    /// What has shown by now, of those too that have only just come.
+    pub fn all(&mut self) -> Vec<Input> {
+        if self.over || !self.expected && self.known.is_empty() {
+            return Vec::new();
+        }
+        self.scan();
+        self.look()
+    }
+
+    /// What those that are known have shown by now.
+    pub fn look(&mut self) -> Vec<Input> {
+        if self.over {
+            return Vec::new();
+        }
+        self.look_at = Instant::now() + LOOK;
+        let mut inputs = Vec::new();
+        self.known.retain_mut(|known| {
+            let generation = known.other.generation();
+            match known.other.look() {
+                Ok(Some(look)) => {
+                    // One that has ended is told of until it is retired: there may have been no room for what it left.
+                    if look.anew || look.ended || look.size != known.size || !look.records.is_empty() {
+                        if look.ended && !known.ended {
+                            log!("succession: process {generation} has ended");
+                        }
+                        (known.size, known.ended) = (look.size, look.ended);
+                        let (anew, records, size, ended) = (look.anew, look.records, look.size, look.ended);
+                        inputs.push(Input::Sibling(Shown { generation, anew, records, size, ended }));
+                    }
+                    true
+                }
+                Ok(None) => {
+                    inputs.push(Input::SiblingGone { generation });
+                    false
+                }
+                Err(error) => {
+                    log!("succession: the file of process {generation}: {error}");
+                    true
+                }
+            }
+        });
+        inputs
+    }
+
+    fn scan(&mut self) {
+        self.scan_at = Instant::now() + SCAN;
+        let known = |generation| {
+            generation == self.own || self.known.iter().any(|known| known.other.generation() == generation)
+        };
+        match others(&self.folder, known) {
+            Ok(new) => {
+                for other in new {
+                    log!("succession: process {} is there", other.generation());
+                    self.known.push(Known { other, size: 0, ended: false });
+                }
+            }
+            Err(error) => log!("succession: {}: {error}", self.folder.display()),
+        }
+    }
+
+    /// What this one left is kept elsewhere.
+    pub fn retire(&mut self, generation: Generation) {
+        self.known.retain(|known| {
+            let gone = known.other.generation() == generation;
+            if gone && let Err(error) = known.other.remove() {
+                log!("succession: the file of process {generation} stays: {error}");
+            }
+            !gone
+        });
+    }
+
+    /// This process hands over: it takes up nothing any more.
+    pub fn end(&mut self) {
+        self.over = true;
+        self.known.clear();
+    }
+}
--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -115,7 +115,7 @@
     let config = Config::read(&text, None, None).expect("a configuration");
     let (records, whole) = replay(Bytes::copy_from_slice(file));
     assert_eq!(whole, file.len());
-    Reducer::new(config, records, whole, now)
+    Reducer::new(config, 0, records, whole, now)
 }
 
 /// Whom a watch follows, as a port, and from which version on. A catalogue has port 0.
@@ -230,6 +230,7 @@
                 self.follows.push((watch, port, since));
             }
             Effect::Log { .. } => {}
+            Effect::Retire { .. } | Effect::HandOver => unreachable!("there is no other process"),
             Effect::CloseDoor => assert!(!std::mem::replace(&mut self.door_closed, true)),
             Effect::Exit => self.exited = true,
         }
@@ -684,7 +685,7 @@
     };
     let asked = |file: &mut Vec<u8>, config: Config, reload: Option<Config>| {
         let (records, whole) = replay(Bytes::copy_from_slice(file));
-        let mut reducer = Reducer::new(config, records, whole, START);
+        let mut reducer = Reducer::new(config, 0, records, whole, START);
         let inputs = [Some(Input::Alarm), reload.map(|config| Input::Reconfigured(Box::new(config)))];
         let mut port = 0;
         for effect in inputs.into_iter().flatten().flat_map(|input| reducer.step(START, input)) {
@@ -826,7 +827,7 @@
     let mut held = Vec::new();
     for start in 0..2 {
         let (records, whole) = replay(Bytes::copy_from_slice(&file));
-        let mut reducer = Reducer::new(config(), records, whole, START);
+        let mut reducer = Reducer::new(config(), 0, records, whole, START);
         let told = Target { uid: format!("n1/web-{start}"), ..common::targets()[0].clone() };
         let targets = vec![Target { state: State::Terminated, ..common::targets()[3].clone() }, told];
         let news = News { rev: 0, all: false, targets, origin: "c1".to_owned() };
@@ -859,7 +860,7 @@
         let mut config = Config::read(&text, None, None).expect("a configuration");
         assert_eq!(config.settings.fleet_size, size);
         (config.seed, config.settings.ask_every) = (u64::from(seed), 10 * S);
-        let mut reducer = Reducer::new(config, Vec::new(), 0, START);
+        let mut reducer = Reducer::new(config, 0, Vec::new(), 0, START);
         let first = asks(&mut reducer, START);
         let lost = START + first + lasted * S;
         let effects = reducer.step(lost, Input::MapLost { watch: 1, why: "it ended".to_owned(), wait_ms });
