Cut an unsafe call when it times out like any other, so that its slot is free again

A probe in the module logged each destination's state by the second: at 14 s nine of nine destinations had one or two overdue calls, windows of 9 and queues up to 157, no wait, no pause, no budget that held them. What held them was the cap for sick routes together (half of 12 slots, in has_room): it was full of hung orders, whose time-out was all the time that they had left (send_one, Effect::Unsafe => left), 12 s. Ruled out: waits, pauses and the pace (all open in the log), the windows (at 9), the door (held 2 to 160 messages), cut pieces (each was answered).

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -1027,11 +1027,8 @@
         let Some(route) = self.endpoints.get(&endpoint).map(|e| e.route) else { return };
         let Some(message) = self.messages.get_mut(&id) else { return };
         let left = (message.deadline - self.now - self.set.tick - STALL).max(1);
-        // An unsafe message timed out can be neither tried nor refused again: it gets all the time it has.
-        let timeout = match message.class.effect {
-            Effect::Unsafe => left,
-            _ => self.routes[route].timeout().min(left),
-        };
+        // An unsafe message too: timed out it has failed, but until then a hung one keeps a slot from all others.
+        let timeout = self.routes[route].timeout().min(left);
         self.attempts.insert((id, message.attempts), (self.next_call, message.key));
         message.attempts += 1;
         message.out += 1;
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -391,6 +391,19 @@
     }
 }
 
+// Guards against a hung call that keeps its slot for as long as its message lives: with one at each of nine destinations
+// all slots for sick ones were held, and nothing went anywhere for up to 12 s.
+#[test]
+fn a_hung_unsafe_call_gives_its_slot_back_as_soon_as_any_other() {
+    let timeout = |class: usize| {
+        let mut bench = Bench::new(settings(), &[entry(1, 1, 0, 0)]);
+        bench.warm_up(1, 20);
+        sends(&bench.hand_in(1, class, 1))[0].2
+    };
+    assert_eq!(timeout(2), timeout(0));
+    assert!(timeout(2) <= 6 * S, "its message lives for 16 s");
+}
+
 #[test]
 fn an_unsafe_message_that_never_ran_is_tried_again() {
     for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot] {
