--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -1027,7 +1027,7 @@
         let Some(route) = self.endpoints.get(&endpoint).map(|e| e.route) else { return };
         let Some(message) = self.messages.get_mut(&id) else { return };
         let left = (message.deadline - self.now - self.set.tick - STALL).max(1);
-        // An unsafe message too: timed out it has failed, but until then a hung one keeps a slot from all others.
+        // An unsafe message too: timed out it has failed, but a hung one would keep a slot from all others.
         let timeout = self.routes[route].timeout().min(left);
         self.attempts.insert((id, message.attempts), (self.next_call, message.key));
         message.attempts += 1;
