Put a fault proxy between processes: delay, drop, reset, blackhole, partition

Design: one TCP proxy per path (tool to a console, forwarders to a partner), on the stand-ins' stage, steered by plain calls; a watch channel carries the fault to every connection at once, so that those already through feel it too. A partition holds bytes and lets them through when lifted (TCP sends again after a heal); a blackhole throws them away; drop is FIN, reset is RST with a zero linger.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod forwarder;
 pub mod partner;
 pub mod platform;
+pub mod proxy;
 mod stage;
 
 pub use consul::Consul;
 pub use forwarder::Forwarder;
 pub use partner::Partner;
 pub use platform::Platform;
+pub use proxy::{Fault, FaultProxy};
 pub use stage::{Stage, loopback};
