Roll a change of settings out in stages, judged side by side, with a record that resumes

The plan (JSON, as the configuration) names each forwarder's console, configuration file and pid file, a JSON merge patch as the change, stages by count, share or all, bake and most wait. A forwarder is changed by the means that exist: its configuration written whole (the one from before kept once, in the state folder) and SIGHUP. Judged over the same interval, changed against unchanged: overload and error shares by the Agresti-Caffo interval of a difference; worse when the interval lies above the margin, pass only when it lies within it after the bake with enough messages each; else not yet, and undecided at the most wait stops.

Not yet: the binary change over EDGE_FD, latency in the judgement (figures carry none), and the tests with several processes.

--- /dev/null
+++ b/crates/rollout/src/judge.rs
@@ -0,0 +1,180 @@
+//! Whether the changed forwarders do worse than the unchanged ones over the same interval. No I/O, no clock.
+//!
+//! Each share (overload, error) is compared by the Agresti–Caffo interval for a difference of two proportions: one
+//! message of each kind is added to each group, and the difference is taken with `z` standard errors either side.
+//! The changed group does worse when the whole interval lies above `margin`; it passes when the whole interval lies
+//! at or below it, each group has ended at least `min_ended` messages and the bake time is over. Anything else is
+//! "not yet": too little traffic never passes.
+
+use serde::{Deserialize, Serialize};
+
+/// Messages ended by a group of forwarders over an interval, as their figures count them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Delivered.
+    pub success: u64,
+    /// Refused or handed back.
+    pub overload: u64,
+    /// Failed.
+    pub error: u64,
+}
+
+impl Tally {
+    /// All ended.
+    pub fn ended(&self) -> u64 {
+        self.success + self.overload + self.error
+    }
+
+    /// The two added up.
+    pub fn plus(self, other: Tally) -> Tally {
+        Tally {
+            success: self.success + other.success,
+            overload: self.overload + other.overload,
+            error: self.error + other.error,
+        }
+    }
+
+    /// What was ended since `before`; None where a count went down, as it does when the process started again.
+    pub fn since(self, before: Tally) -> Option<Tally> {
+        Some(Tally {
+            success: self.success.checked_sub(before.success)?,
+            overload: self.overload.checked_sub(before.overload)?,
+            error: self.error.checked_sub(before.error)?,
+        })
+    }
+}
+
+/// What a stage is judged by; the plan gives it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Criteria {
+    /// How much higher a share may be in the changed group before it counts as worse, as a fraction (0.02: two
+    /// points).
+    pub margin: f64,
+    /// Standard errors either side of the difference (2.33: about 99% one-sided).
+    pub z: f64,
+    /// Messages each group must have ended before a stage can pass.
+    pub min_ended: u64,
+}
+
+impl Default for Criteria {
+    fn default() -> Self {
+        Criteria { margin: 0.02, z: 2.33, min_ended: 200 }
+    }
+}
+
+/// The judgement of a stage at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Not enough to say either way.
+    NotYet,
+    /// The changed group is not worse beyond the margin.
+    Pass,
+    /// The changed group does worse; why, in words.
+    Worse(String),
+}
+
+/// One share compared: the interval of (changed - unchanged).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Interval {
+    /// The lower end.
+    pub low: f64,
+    /// The difference itself.
+    pub middle: f64,
+    /// The upper end.
+    pub high: f64,
+}
+
+/// The Agresti–Caffo interval of `a / n - b / m` with `z` standard errors.
+pub fn difference(a: u64, n: u64, b: u64, m: u64, z: f64) -> Interval {
+    let (p, q) = ((a as f64 + 1.0) / (n as f64 + 2.0), (b as f64 + 1.0) / (m as f64 + 2.0));
+    let error = (p * (1.0 - p) / (n as f64 + 2.0) + q * (1.0 - q) / (m as f64 + 2.0)).sqrt();
+    let middle = p - q;
+    Interval { low: middle - z * error, middle, high: middle + z * error }
+}
+
+/// Judges the changed group against the unchanged one over the same interval; `baked` says whether the stage's bake
+/// time is over.
+pub fn judge(changed: Tally, unchanged: Tally, criteria: &Criteria, baked: bool) -> Verdict {
+    let (n, m) = (changed.ended(), unchanged.ended());
+    let shares =
+        [("overload", changed.overload, unchanged.overload), ("error", changed.error, unchanged.error)];
+    let intervals = shares.map(|(name, a, b)| (name, a, b, difference(a, n, b, m, criteria.z)));
+    for (name, a, b, interval) in intervals {
+        if interval.low > criteria.margin {
+            return Verdict::Worse(format!(
+                "{name} share {:.4} changed ({a} of {n}) against {:.4} unchanged ({b} of {m}): worse by {:.4} to {:.4}, \
+                 margin {}",
+                share(a, n),
+                share(b, m),
+                interval.low,
+                interval.high,
+                criteria.margin
+            ));
+        }
+    }
+    let enough = n >= criteria.min_ended && m >= criteria.min_ended;
+    let within = intervals.iter().all(|(_, _, _, interval)| interval.high <= criteria.margin);
+    if baked && enough && within { Verdict::Pass } else { Verdict::NotYet }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn tally(success: u64, overload: u64, error: u64) -> Tally {
+        Tally { success, overload, error }
+    }
+
+    // Guards against a pass on little traffic: a group that has ended ten messages, all well, is not judged.
+    #[test]
+    fn too_little_is_not_yet() {
+        let criteria = Criteria::default();
+        assert_eq!(judge(tally(10, 0, 0), tally(1000, 5, 5), &criteria, true), Verdict::NotYet);
+        assert_eq!(judge(tally(1000, 5, 5), tally(10, 0, 0), &criteria, true), Verdict::NotYet);
+    }
+
+    // Guards against a pass before the bake time is over, and for a change equal to the rest.
+    #[test]
+    fn the_same_passes_once_baked() {
+        let criteria = Criteria::default();
+        let (a, b) = (tally(950, 30, 20), tally(4750, 150, 100));
+        assert_eq!(judge(a, b, &criteria, false), Verdict::NotYet);
+        assert_eq!(judge(a, b, &criteria, true), Verdict::Pass);
+    }
+
+    // Guards against blaming the change for what all forwarders see: shares high in both groups alike pass.
+    #[test]
+    fn trouble_for_everyone_is_not_the_change() {
+        let criteria = Criteria::default();
+        assert_eq!(judge(tally(1830, 1050, 120), tally(9000, 5400, 600), &criteria, true), Verdict::Pass);
+    }
+
+    // Guards against a change that refuses more going on: 12% overload against 2% is worse at once, baked or not.
+    #[test]
+    fn more_refused_is_worse() {
+        let criteria = Criteria::default();
+        let verdict = judge(tally(440, 60, 0), tally(2450, 50, 0), &criteria, false);
+        assert!(matches!(&verdict, Verdict::Worse(why) if why.starts_with("overload share")), "{verdict:?}");
+        let verdict = judge(tally(440, 0, 60), tally(2450, 0, 50), &criteria, false);
+        assert!(matches!(&verdict, Verdict::Worse(why) if why.starts_with("error share")), "{verdict:?}");
+    }
+
+    // Guards against a stage that passes while the interval still reaches past the margin.
+    #[test]
+    fn a_doubt_past_the_margin_is_not_yet() {
+        let criteria = Criteria::default();
+        // 3% against 2% over 300 and 1500: the difference may be 0 or 4 points.
+        assert_eq!(judge(tally(291, 9, 0), tally(1470, 30, 0), &criteria, true), Verdict::NotYet);
+    }
+
+    #[test]
+    fn counts_that_fall_tell_a_restart() {
+        assert_eq!(tally(5, 1, 0).since(tally(6, 0, 0)), None);
+        assert_eq!(tally(9, 2, 1).since(tally(6, 1, 1)), Some(tally(3, 1, 0)));
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/plan.rs
@@ -0,0 +1,187 @@
+//! The plan of a rollout, in the configuration's form (JSON): the fleet, the change, the stages and the criteria.
+
+use crate::judge::Criteria;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// One forwarder of the fleet.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    /// Its name, unique in the plan; the record speaks of it by this.
+    pub name: String,
+    /// Where its console answers.
+    pub console: SocketAddr,
+    /// The configuration file it reads at a start and at SIGHUP.
+    pub config: PathBuf,
+    /// A file that holds the number of its process, as its supervisor writes it.
+    pub pid_file: PathBuf,
+}
+
+/// A plan as read.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// The fleet, in the order in which its forwarders are changed.
+    pub forwarders: Vec<Member>,
+    /// The change: a JSON merge patch (RFC 7386) laid over each forwarder's own configuration.
+    pub settings_patch: Value,
+    /// How many forwarders have the change once each stage has begun: a count (`"1"`), a share (`"10%"`) or
+    /// `"all"`; each stage has more than the one before.
+    pub stages: Vec<String>,
+    /// How long each stage runs before it may pass, in milliseconds.
+    pub bake_ms: u64,
+    /// How long a stage may wait for enough traffic before it is stopped as undecided, in milliseconds.
+    pub max_bake_ms: u64,
+    /// How often figures are read during a stage, in milliseconds.
+    #[serde(default = "poll_ms")]
+    pub poll_ms: u64,
+    /// What a stage is judged by.
+    #[serde(default)]
+    pub criteria: Criteria,
+}
+
+fn poll_ms() -> u64 {
+    1000
+}
+
+/// Why a plan cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum PlanError {
+    /// The file could not be read.
+    #[error("the plan cannot be read: {0}")]
+    Read(#[from] std::io::Error),
+    /// It is no plan.
+    #[error("the plan is not in form: {0}")]
+    Form(#[from] serde_json::Error),
+    /// It is a plan that cannot be carried out; why.
+    #[error("the plan cannot be carried out: {0}")]
+    Unsound(String),
+}
+
+impl Plan {
+    /// Reads and checks a plan whole.
+    pub fn read(path: &Path) -> Result<Plan, PlanError> {
+        let plan: Plan = serde_json::from_slice(&std::fs::read(path)?)?;
+        plan.counts()?;
+        Ok(plan)
+    }
+
+    /// A digest of the plan's text as understood, so that a record is resumed only by the plan that began it.
+    pub fn digest(&self) -> String {
+        let names: Vec<&str> = self.forwarders.iter().map(|m| m.name.as_str()).collect();
+        let text = serde_json::json!([names, self.settings_patch, self.stages]).to_string();
+        format!("{:016x}", xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
+    }
+
+    /// How many forwarders have the change once each stage has begun, rising, the last one all.
+    pub fn counts(&self) -> Result<Vec<usize>, PlanError> {
+        let size = self.forwarders.len();
+        let unsound = |why: String| Err(PlanError::Unsound(why));
+        if size < 2 {
+            return unsound("a fleet of fewer than two has nothing to compare with".into());
+        }
+        let mut names: Vec<&str> = self.forwarders.iter().map(|m| m.name.as_str()).collect();
+        names.sort_unstable();
+        if let Some(pair) = names.windows(2).find(|pair| pair[0] == pair[1]) {
+            return unsound(format!("two forwarders are named {}", pair[0]));
+        }
+        if self.poll_ms == 0 || self.bake_ms > self.max_bake_ms {
+            return unsound("poll_ms must be over 0 and bake_ms at most max_bake_ms".into());
+        }
+        let mut counts = Vec::new();
+        for stage in &self.stages {
+            let count = if stage == "all" {
+                size
+            } else if let Some(share) = stage.strip_suffix('%') {
+                match share.parse::<f64>() {
+                    Ok(share) if share > 0.0 && share <= 100.0 => {
+                        ((share / 100.0) * size as f64).ceil() as usize
+                    }
+                    _ => return unsound(format!("stage {stage}: a share is over 0% and at most 100%")),
+                }
+            } else {
+                match stage.parse::<usize>() {
+                    Ok(count) if (1..=size).contains(&count) => count,
+                    _ => return unsound(format!("stage {stage}: a count is from 1 to {size}")),
+                }
+            };
+            if counts.last().is_some_and(|last| *last >= count) {
+                return unsound(format!("stage {stage} has no more forwarders than the one before"));
+            }
+            counts.push(count);
+        }
+        if counts.last() != Some(&size) {
+            return unsound("the last stage must reach all forwarders".into());
+        }
+        Ok(counts)
+    }
+}
+
+/// Lays a JSON merge patch (RFC 7386) over a document.
+pub fn merge(target: &mut Value, patch: &Value) {
+    let Value::Object(patch) = patch else {
+        *target = patch.clone();
+        return;
+    };
+    if !target.is_object() {
+        *target = Value::Object(Default::default());
+    }
+    let Value::Object(target) = target else { return };
+    for (key, value) in patch {
+        if value.is_null() {
+            target.remove(key);
+        } else {
+            merge(target.entry(key.clone()).or_insert(Value::Null), value);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn plan(size: usize, stages: &[&str]) -> Plan {
+        let forwarders = (0..size)
+            .map(|i| Member {
+                name: format!("f{i}"),
+                console: "127.0.0.1:1".parse().unwrap(),
+                config: format!("f{i}.json").into(),
+                pid_file: format!("f{i}.pid").into(),
+            })
+            .collect();
+        Plan {
+            forwarders,
+            settings_patch: json!({}),
+            stages: stages.iter().map(|s| s.to_string()).collect(),
+            bake_ms: 1,
+            max_bake_ms: 2,
+            poll_ms: 1,
+            criteria: Criteria::default(),
+        }
+    }
+
+    #[test]
+    fn stages_count_forwarders() {
+        assert_eq!(plan(20, &["1", "10%", "50%", "all"]).counts().unwrap(), [1, 2, 10, 20]);
+        assert_eq!(plan(6, &["1", "50%", "all"]).counts().unwrap(), [1, 3, 6]);
+        // Guards against a plan that never reaches everyone or stands still.
+        assert!(plan(6, &["1", "50%"]).counts().is_err());
+        assert!(plan(6, &["1", "10%", "all"]).counts().is_err());
+        assert!(plan(1, &["all"]).counts().is_err());
+    }
+
+    #[test]
+    fn a_merge_patch_replaces_adds_and_removes() {
+        let mut config =
+            json!({"name": "f1", "settings": {"limits": {"max_open": 4000, "try_limit": 8}, "az": "a"}});
+        merge(&mut config, &json!({"settings": {"limits": {"max_open": 100, "try_limit": null}, "x": [1]}}));
+        assert_eq!(
+            config,
+            json!({"name": "f1", "settings": {"limits": {"max_open": 100}, "az": "a", "x": [1]}})
+        );
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -49,6 +49,19 @@
         /// The script.
         script: PathBuf,
     },
+    /// Roll a change of settings out over a fleet in stages, judged side by side; stop and take it back when a stage
+    /// does worse. Killed and started again with the same plan and folder, it goes on from its record.
+    #[cfg(feature = "installations")]
+    Rollout {
+        /// The plan, as JSON.
+        plan: PathBuf,
+        /// The folder that keeps the rollout's record and each forwarder's configuration from before.
+        #[arg(long, value_name = "FOLDER")]
+        state: PathBuf,
+        /// The form of the log, on standard error.
+        #[arg(long, value_enum, default_value_t = LogForm::Text)]
+        log: LogForm,
+    },
     /// Print the version.
     Version,
 }
@@ -140,6 +153,20 @@
     );
 }
 
+/// Carries out a rollout and says how it ended; a stop that took the change back is a failure of the command.
+#[cfg(feature = "installations")]
+fn rollout(plan: &std::path::Path, state: &std::path::Path) -> Result<(), Box<dyn Error>> {
+    match orchidyoke_rollout::run(&orchidyoke_rollout::Plan::read(plan)?, state)? {
+        orchidyoke_rollout::Outcome::Done => {
+            println!("rollout done: every forwarder has the change");
+            Ok(())
+        }
+        orchidyoke_rollout::Outcome::TakenBack(why) => {
+            Err(format!("rollout stopped and taken back: {why}").into())
+        }
+    }
+}
+
 /// Does what the command line says. What goes wrong is said in one line.
 pub fn run() -> ExitCode {
     let done = match Cli::parse().command {
@@ -150,6 +177,11 @@
         Command::Check { given } => given.check(),
         #[cfg(feature = "installations")]
         Command::Evaluate { script } => orchidyoke_config::serve(&script),
+        #[cfg(feature = "installations")]
+        Command::Rollout { plan, state, log } => {
+            log::start(log.into());
+            rollout(&plan, &state)
+        }
         Command::Version => {
             println!("orchidyoke {}", env!("CARGO_PKG_VERSION"));
             Ok(())
