--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod load;
 mod report;
+mod rollout;
 mod scale;
 mod silent;
 mod site;
@@ -51,7 +52,7 @@
     /// The forwarder; the one beside this program where it is left out.
     #[arg(long, value_name = "FILE")]
     program: Option<PathBuf>,
-    /// Seeds run beside each other, from `seed` on (consul-cold, fleet-limit).
+    /// Seeds run beside each other, from `seed` on (consul-cold, fleet-limit); one after another (rollout-stop).
     #[arg(long, default_value_t = 20)]
     seeds: u64,
     /// Take away what the experiment is to prove: the run must fail.
@@ -77,7 +78,7 @@
     run: fn(&Run) -> Result<Outcome, String>,
 }
 
-const EXPERIMENTS: [Experiment; 5] = [
+const EXPERIMENTS: [Experiment; 6] = [
     Experiment {
         name: "consul-drain",
         shows: "endpoints flap, drain and vanish under load: from Consul's answer to the last new call",
@@ -108,6 +109,12 @@
         sabotage: "each forwarder is told that it is the only one",
         run: fleet::run,
     },
+    Experiment {
+        name: "rollout-stop",
+        shows: "a change that refuses more, over six forwarders under load: time to the stop, messages it ended",
+        sabotage: "the rollout's margin is one whole, so that nothing counts as worse",
+        run: rollout::run,
+    },
 ];
 
 fn run(name: &str, run: &Run) -> Result<bool, String> {
