Start a supervised forwarder with its console in one place; the lab reads figures by the tool's parser

Need: the lab's rollout-stop and tests/rollout.rs each started a forwarder with a console, read its address from the log and wrote its pid file, line for line; the lab also parsed show-stat again beside orchidyoke_rollout::fleet::parse. Change: Forwarder::start_supervised in stand-ins does the first for both (also for the restart in the kill test); the lab counts ends by the tool's parser. Every assertion is kept.

--- a/crates/lab/src/rollout.rs
+++ b/crates/lab/src/rollout.rs
@@ -94,14 +94,7 @@
     for number in 0..FLEET {
         let folder = Folder::new(&format!("lab-rollout-{seed}-{number}"));
         folder.write("config.json", &setup.text());
-        let forwarder = Forwarder::start(program, &folder, &["--console", "127.0.0.1:0"]);
-        let line = forwarder.logged("console at ", Duration::from_secs(10)).ok_or("no console")?;
-        let console: SocketAddr = line
-            .rsplit_once("console at ")
-            .and_then(|(_, at)| at.split('"').next())
-            .and_then(|at| at.trim().parse().ok())
-            .ok_or("no console address")?;
-        folder.write("pid", &forwarder.pid().to_string());
+        let (forwarder, console) = Forwarder::start_supervised(program, &folder, "127.0.0.1:0");
         folders.push(folder);
         forwarders.push(forwarder);
         consoles.push(console);
@@ -174,8 +167,5 @@
     stream.write_all(b"show-stat\n").ok()?;
     let mut reply = String::new();
     stream.read_to_string(&mut reply).ok()?;
-    let ends = reply.lines().filter(|line| {
-        ["app_success{", "app_overload{", "app_error{"].iter().any(|name| line.starts_with(name))
-    });
-    Some(ends.filter_map(|line| line.rsplit_once(' ')?.1.parse::<u64>().ok()).sum())
+    orchidyoke_rollout::fleet::parse(&reply).map(|tally| tally.ended())
 }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -46,14 +46,7 @@
             let folder = Folder::new(&format!("rollout-{name}-{number}"));
             folder.write("config.json", &setup.text());
             let program = Path::new(env!("CARGO_BIN_EXE_orchidyoke"));
-            let forwarder = Forwarder::start(program, &folder, &["--console", "127.0.0.1:0"]);
-            let line = forwarder.logged("console at ", Duration::from_secs(10)).expect("a console");
-            let console: SocketAddr = line
-                .rsplit_once("console at ")
-                .and_then(|(_, at)| at.split('"').next())
-                .and_then(|at| at.trim().parse().ok())
-                .expect("an address");
-            folder.write("pid", &forwarder.pid().to_string());
+            let (forwarder, console) = Forwarder::start_supervised(program, &folder, "127.0.0.1:0");
             proxies.push(FaultProxy::start(&stage, loopback(), console));
             consoles.push(console);
             folders.push(folder);
@@ -88,9 +81,7 @@
         self.forwarders.remove(number).kill();
         let program = Path::new(env!("CARGO_BIN_EXE_orchidyoke"));
         let console = self.consoles[number].to_string();
-        let forwarder = Forwarder::start(program, &self.folders[number], &["--console", &console]);
-        forwarder.logged("console at ", Duration::from_secs(10)).expect("a console");
-        self.folders[number].write("pid", &forwarder.pid().to_string());
+        let (forwarder, _) = Forwarder::start_supervised(program, &self.folders[number], &console);
         self.forwarders.insert(number, forwarder);
     }
 
