--- a/crates/rollout/src/progress.rs
+++ b/crates/rollout/src/progress.rs
@@ -224,6 +224,57 @@
         assert_eq!(next(&records), Step::TakenBack("worse".into()));
     }
 
+    /// Carries out steps as `run` writes them, from these records on, until nothing is left; a stop is written
+    /// when stage `stop_at` is baked.
+    fn drive(mut records: Vec<Record>, stop_at: Option<usize>) -> Vec<Record> {
+        loop {
+            match Progress::of(&records).next(&NAMES, &COUNTS) {
+                Step::Change(place) => {
+                    records.push(Record::Changing(NAMES[place].into()));
+                    records.push(Record::Changed(NAMES[place].into()));
+                }
+                Step::Bake(stage) if Some(stage) == stop_at => records.push(Record::Stopped("worse".into())),
+                Step::Bake(stage) => records.push(Record::Passed(stage)),
+                Step::TakeBack(place) => {
+                    records.push(Record::TakingBack(NAMES[place].into()));
+                    records.push(Record::TakenBack(NAMES[place].into()));
+                }
+                Step::Finish => records.push(Record::Done),
+                Step::Over | Step::TakenBack(_) => return records,
+            }
+        }
+    }
+
+    fn count(records: &[Record], wanted: impl Fn(&Record) -> bool) -> usize {
+        records.iter().filter(|record| wanted(record)).count()
+    }
+
+    // Guards against a tool killed between any two records that then changes a forwarder twice, leaves one
+    // unchanged, or after a stop leaves one touched and not taken back.
+    #[test]
+    fn a_kill_between_any_two_records_ends_the_same() {
+        for stop_at in [None, Some(0), Some(1)] {
+            let whole = drive(Vec::new(), stop_at);
+            for cut in 0..=whole.len() {
+                let resumed = drive(whole[..cut].to_vec(), stop_at);
+                let progress = Progress::of(&resumed);
+                for name in NAMES {
+                    let changed = count(&resumed, |r| *r == Record::Changed(name.into()));
+                    assert!(changed <= 1, "{name} changed twice after a cut at {cut}: {resumed:?}");
+                    match stop_at {
+                        None => assert_eq!(changed, 1, "{name} after a cut at {cut}"),
+                        Some(_) => assert_eq!(
+                            progress.touched.contains(name),
+                            progress.taken_back.contains(name),
+                            "{name} after a cut at {cut}: {resumed:?}"
+                        ),
+                    }
+                }
+                assert_eq!(progress.done, stop_at.is_none(), "after a cut at {cut}");
+            }
+        }
+    }
+
     #[test]
     fn the_file_keeps_what_was_whole_and_cuts_a_torn_line() {
         let folder = std::env::temp_dir().join(format!("orchidyoke-rollout-log-{}", std::process::id()));
