Write a repeat only if a pause before the write cannot delay it beyond its window

What callers saw: a message with an idempotency key ran twice.

Cause: the window was checked once, when the call got its connection. The margin was 50 ms at the decision and none at that check, where a pause of 150 ms less the 50 ms of the protocol needs 100 ms.

Change: Idempotency::repeat_until is the one rule for controller and forwarder, with a margin of 105 ms. A call carries the time by which it must be written, and its connection's task checks it immediately before the first byte; a late call is reported with CallExpired, counts as not sent, and its connection stays usable. It works because from that last look at the clock a pause of 150 ms ends within the window and the 50 ms.

Other paths looked at: connections that come up late and repeats after an offer (same fault, fixed); restart and upgrade (same checks); a call written after its message's deadline (now not written); answer_by and time-outs (350 ms are allowed, fine); drain, endpoints out by hand and Retry-After (250 ms, and 100 and 50 ms, cover a pause).

Tests failed before: with the new tests on the old code, repeat_that_a_pause_could_delay_beyond_its_window_is_not_sent, one_second_window_is_counted_across_a_restart and the random runs invariants_hold_after_every_random_step fail. possible_delivery_ends_resending_with_the_key_window and the reference controller had the margin of 50 ms written down, which was the fault; both have 105 ms now and are as strict.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -10,7 +10,7 @@
 };
 use crate::rng::SeededRng;
 use crate::slow_start::BUDGET_FRACTION;
-use crate::timeouts::SCHEDULING_MARGIN_US;
+use crate::timeouts::REPEAT_MARGIN_US;
 
 /// Longest time span accepted from outside. A sum of a few such spans does not overflow.
 pub(crate) const MAX_REPORTED_US: Micros = 1_000_000_000_000;
@@ -60,16 +60,24 @@
     may_have_been_executed(outcome) && outcome != Outcome::Error
 }
 
+impl Idempotency {
+    /// Returns until when a message may be written to an endpoint again if the first attempt that may have delivered it
+    /// was sent at `first_sent_at`: `Micros::MAX` if a repeat does no harm, `Micros::MIN` if no repeat is allowed.
+    pub fn repeat_until(self, first_sent_at: Micros) -> Micros {
+        match self {
+            Idempotency::Idempotent => Micros::MAX,
+            Idempotency::IdempotencyKey { window, .. } => {
+                first_sent_at.saturating_add(window).saturating_sub(REPEAT_MARGIN_US)
+            }
+            Idempotency::NonIdempotent => Micros::MIN,
+        }
+    }
+}
+
 /// Returns until when a message may be sent: `Micros::MAX` if a repeat does no harm, `Micros::MIN` if no repeat is
 /// allowed.
 pub(crate) fn resendable_until(possible: Option<PossibleDelivery>, idempotency: Idempotency) -> Micros {
-    match (possible, idempotency) {
-        (None, _) | (_, Idempotency::Idempotent) => Micros::MAX,
-        (Some(first), Idempotency::IdempotencyKey { window, .. }) => {
-            first.sent_at.saturating_add(window) - SCHEDULING_MARGIN_US
-        }
-        (Some(_), Idempotency::NonIdempotent) => Micros::MIN,
-    }
+    possible.map_or(Micros::MAX, |first| idempotency.repeat_until(first.sent_at))
 }
 
 /// Returns whether a message has an attempt left; `max_attempts` is 0 if there is no limit.
--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -39,10 +39,24 @@
 
 #[test]
 fn possible_delivery_ends_resending_with_the_key_window() {
-    assert_eq!(resendable_until(delivery(0), keyed(KEYED[0])), 11 * SECOND - 50_000);
+    assert_eq!(resendable_until(delivery(0), keyed(KEYED[0])), 11 * SECOND - 105_000);
     assert_eq!(resendable_until(delivery(0), Idempotency::NonIdempotent), Micros::MIN);
 }
 
+// Guards against a repeat that reaches its endpoint after the deduplication window, because the forwarder was paused for
+// 150 ms between its look at the clock and the write. The protocol extends the window by 50 ms on sockets.
+#[test]
+fn repeat_stays_in_its_window_if_the_forwarder_is_paused_before_the_write() {
+    const LONGEST_PAUSE: Micros = 150_000;
+    const SOCKET_TOLERANCE: Micros = 50_000;
+    let sent_at = 7 * SECOND;
+    for window in [SECOND, 2_150_000, 10 * SECOND] {
+        let idempotency = Idempotency::IdempotencyKey { scope: DeduplicationScope::All, window };
+        let last_write_at = idempotency.repeat_until(sent_at) - 1 + LONGEST_PAUSE;
+        assert!(last_write_at < sent_at + window + SOCKET_TOLERANCE, "{window}");
+    }
+}
+
 #[test]
 fn attempts_end_at_their_limit() {
     assert!(has_attempts_left(2, 3) && !has_attempts_left(3, 3));
--- a/crates/core/src/timeouts.rs
+++ b/crates/core/src/timeouts.rs
@@ -28,6 +28,15 @@
 const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 /// Time for which the forwarder itself may be descheduled. Everything with a deadline ends earlier by this time.
 pub(crate) const SCHEDULING_MARGIN_US: Micros = 50_000;
+/// Longest time for which the forwarder may be paused between a look at the clock and the write that follows from it.
+const MAX_PAUSE_US: Micros = 150_000;
+/// Time by which the protocol extends every time limit on sockets.
+const SOCKET_TOLERANCE_US: Micros = 50_000;
+/// Time from the look at the clock before a write until the endpoint has the first byte, without a pause.
+const WRITE_LATENCY_US: Micros = 5_000;
+/// Time before the end of a deduplication window from which no repeat is written any more. A repeat that was due
+/// earlier reaches its endpoint within the window even if the forwarder is paused just before it writes.
+pub(crate) const REPEAT_MARGIN_US: Micros = MAX_PAUSE_US + WRITE_LATENCY_US - SOCKET_TOLERANCE_US;
 /// Stalled calls are cancelled while less than this share of them turns out to be slow messages.
 const MAX_SLOW_SHARE: f64 = 0.3;
 /// Gain of that share. One slow message alone stops the cancellation until a stall turns out to be a dead connection.
--- a/crates/core/tests/reference/control.rs
+++ b/crates/core/tests/reference/control.rs
@@ -42,6 +42,9 @@
 /// Time for which a forwarder with part of a core may be descheduled. Everything with a deadline ends earlier by this
 /// time.
 const SCHEDULING_MARGIN_US: Micros = 50_000;
+/// Time before the end of a deduplication window from which no repeat is sent. A pause of 150 ms before the write, less
+/// the 50 ms that the protocol adds to every limit on sockets, leaves the repeat within the window.
+const REPEAT_MARGIN_US: Micros = 105_000;
 /// Bounds of a time-out. With a lower bound a pause would look like a hang; with a higher one a hanging call would hold
 /// its slot for too long.
 const MIN_TIMEOUT_US: Micros = 1_500_000;
@@ -113,7 +116,7 @@
         match (self.possible_delivery, self.class.idempotency) {
             (None, _) | (_, Idempotency::Idempotent) => Micros::MAX,
             (Some((sent, ..)), Idempotency::IdempotencyKey { window, .. }) => {
-                sent.saturating_add(window) - SCHEDULING_MARGIN_US
+                sent.saturating_add(window) - REPEAT_MARGIN_US
             }
             (Some(_), Idempotency::NonIdempotent) => Micros::MIN,
         }
--- a/crates/forwarder/src/effects.rs
+++ b/crates/forwarder/src/effects.rs
@@ -99,9 +99,10 @@
 
     fn send_call(&self, connection: EndpointConnectionId, call: EndpointCall) {
         let deadline = self.clock.instant(call.deadline);
+        let send_by = self.clock.instant(call.send_by);
         if let Some(calls) = self.endpoint_connections.get(&connection) {
             // Sending fails only if the connection has closed, and the connection reports that itself.
-            let _ = calls.send(ScheduledCall { call, deadline });
+            let _ = calls.send(ScheduledCall { call, deadline, send_by });
         }
     }
 
--- a/crates/forwarder/src/endpoint_call.rs
+++ b/crates/forwarder/src/endpoint_call.rs
@@ -34,6 +34,8 @@
     pub time_left: Micros,
     /// Time until which the forwarder waits, as Unix time in microseconds.
     pub deadline: Micros,
+    /// Time from which the call must not be written any more, as Unix time in microseconds.
+    pub send_by: Micros,
 }
 
 #[derive(Serialize)]
--- a/crates/forwarder/src/endpoint_connection.rs
+++ b/crates/forwarder/src/endpoint_connection.rs
@@ -1,7 +1,8 @@
 //! A connection to an endpoint: one task connects, carries one call at a time and reports to the reducer.
 //!
 //! The task reports [`Input::ConnectionUp`] once, [`Input::CallWritten`] and [`Input::CallAnswered`] for each call, and
-//! [`Input::ConnectionClosed`] last. The last report also ends a call that has no answer.
+//! [`Input::ConnectionClosed`] last. The last report also ends a call that has no answer. A call that arrives too late to
+//! be sent gets [`Input::CallExpired`] instead, and the connection stays open.
 
 use crate::connection_pool::EndpointConnectionId;
 use crate::endpoint_call::{Cause, EndpointCall, EndpointCallError, EndpointReply, Progress};
@@ -36,6 +37,8 @@
     pub call: EndpointCall,
     /// Time until which the connection waits for the response.
     pub deadline: Instant,
+    /// Time from which the call must not be written any more.
+    pub send_by: Instant,
 }
 
 /// Reports, when it is dropped, that a connection is closed. The report is also sent when the connection's task panics,
@@ -138,6 +141,11 @@
                 Err(error) => return error,
             };
             let body = scheduled.call.body();
+            // Checked as late as possible: the forwarder may have been paused since the reducer checked it.
+            if Instant::now() >= scheduled.send_by {
+                let _ = inputs.send(Input::CallExpired { connection: self.id });
+                continue;
+            }
             self.exchange.begin(body.len());
             *if_panicked = connection_failed(Progress::FullyWritten, "the connection's task panicked");
             match self.carry(&scheduled, body, calls).await {
@@ -174,7 +182,7 @@
         body: Bytes,
         calls: &mut UnboundedReceiver<ScheduledCall>,
     ) -> Result<Answered, EndpointCallError> {
-        let ScheduledCall { call, deadline } = scheduled;
+        let ScheduledCall { call, deadline, .. } = scheduled;
         let response = exchange(&mut self.sender, self.address, call, body);
         let end = drive(response, &mut self.driver, calls, *deadline, &self.exchange).await;
         // For a single message, the status line alone tells whether it is delivered.
--- a/crates/forwarder/src/input.rs
+++ b/crates/forwarder/src/input.rs
@@ -153,6 +153,12 @@
         /// The connection of the call.
         connection: EndpointConnectionId,
     },
+    /// The connection got a call after the time by which the call had to be sent, and wrote nothing of it. The
+    /// connection can carry another call.
+    CallExpired {
+        /// The connection of the call.
+        connection: EndpointConnectionId,
+    },
     /// An endpoint has answered a call.
     CallAnswered {
         /// The connection of the call.
--- a/crates/forwarder/src/reducer/attempts.rs
+++ b/crates/forwarder/src/reducer/attempts.rs
@@ -123,16 +123,19 @@
     fn drop_unsendable_attempts(&mut self, now: Micros, id: CallId, start: &AttemptStart) {
         let Some(call) = self.calls.get(id) else { return };
         let created_at = call.created_at;
-        let is_sendable = |attempt: &AttemptId| {
-            let message = self.messages.get(attempt.message);
-            message.is_some_and(|message| self.may_send_to(now, message, start))
+        let sendable_until = |attempt: &AttemptId| {
+            let message = self.messages.get(attempt.message)?;
+            self.sendable_until(now, message, start).filter(|until| now < *until)
         };
-        let (sendable, dropped): (Vec<_>, Vec<_>) = call.attempts.iter().copied().partition(is_sendable);
+        let (sendable, dropped): (Vec<_>, Vec<_>) =
+            call.attempts.iter().copied().partition(|attempt| sendable_until(attempt).is_some());
+        let send_by = sendable.iter().filter_map(sendable_until).min();
         let messages = sendable.iter().filter_map(|attempt| self.messages.get(attempt.message));
         let message_ids = messages.map(|message| message.accepted.id.clone()).collect();
         let Some(call) = self.calls.get_mut(id) else { return };
         call.attempts = sendable;
         call.message_ids = message_ids;
+        call.send_by = send_by.unwrap_or(call.times_out_at).min(call.times_out_at);
         for attempt in dropped {
             self.finish_attempt(now, attempt, Outcome::NotSent, created_at, ReplyInfo::default());
         }
@@ -169,10 +172,22 @@
         }
         let is_bulk = self.max_batch(call.endpoint) > 1 && messages.len() > 1;
         let deadline = call.times_out_at;
-        let call = endpoint_call::EndpointCall { messages, is_bulk, time_left: deadline - now, deadline };
+        let send_by = call.send_by;
+        let time_left = deadline - now;
+        let call = endpoint_call::EndpointCall { messages, is_bulk, time_left, deadline, send_by };
         self.effects.push(Effect::SendCall { connection, call });
     }
 
+    /// Handles a call that was not written, because the time to send it had passed when its connection got it. The
+    /// messages that may still be sent are sent in another call.
+    pub(super) fn on_call_expired(&mut self, now: Micros, connection: EndpointConnectionId) {
+        let Some(id) = self.pool.call_of(connection) else { return };
+        let late_by = self.calls.get(id).map_or(0, |call| now - call.send_by);
+        self.log(format!("call not sent, too late connection={connection} late_by_us={late_by}"));
+        self.pool.release(connection, now);
+        self.abandon_call(now, id);
+    }
+
     /// Counts the messages of a call whose last byte has been written.
     pub(super) fn on_call_written(&mut self, connection: EndpointConnectionId) {
         let call = self.pool.call_of(connection).and_then(|id| self.calls.get(id));
--- a/crates/forwarder/src/reducer/call_table.rs
+++ b/crates/forwarder/src/reducer/call_table.rs
@@ -24,6 +24,8 @@
     /// time until a connection is established.
     pub created_at: Micros,
     pub times_out_at: Micros,
+    /// Time from which the call must not be written any more. Set when the call gets a connection.
+    pub send_by: Micros,
     /// Whether the call uses a connection that had been idle.
     pub reused_connection: bool,
     /// Whether the append of the call's record was requested. If `true`, the call may have been written; if `false`, no
@@ -40,6 +42,7 @@
             message_ids: Vec::new(),
             created_at,
             times_out_at,
+            send_by: times_out_at,
             reused_connection: false,
             record_requested: false,
         }
--- a/crates/forwarder/src/reducer/mod.rs
+++ b/crates/forwarder/src/reducer/mod.rs
@@ -119,6 +119,7 @@
             }
             Input::Operator { request, call } => self.on_operator_call(now, request, call),
             Input::CallWritten { connection } => self.on_call_written(connection),
+            Input::CallExpired { connection } => self.on_call_expired(now, connection),
             Input::CallAnswered { connection, reply, reusable } => {
                 self.on_call_answered(now, connection, &reply, reusable);
             }
--- a/crates/forwarder/src/reducer/repeat_rules.rs
+++ b/crates/forwarder/src/reducer/repeat_rules.rs
@@ -5,7 +5,8 @@
 //! - `IdempotencyKey`: within the window since the first attempt, and only to endpoints that share their memory of keys
 //!   with the endpoint of that attempt: all endpoints, those of the same zone, or only that endpoint.
 //!
-//! In each case the message's deadline must not have passed.
+//! In each case the message's deadline must not have passed. The times are checked when a call gets its connection, and
+//! once more immediately before its first byte is written, because the forwarder may be paused in between.
 
 use super::Reducer;
 use super::message_table::Message;
@@ -22,19 +23,17 @@
         class.map(|class| class.idempotency).unwrap_or_default()
     }
 
-    /// Returns whether a message may still be sent to this endpoint. A message that may have been delivered is sent
-    /// again only before its deadline and only to an endpoint that drops the repeat.
-    pub(super) fn may_send_to(&self, now: Micros, message: &Message, to: &AttemptStart) -> bool {
+    /// Returns until when a message may be written to this endpoint: until its deadline, and if it may have been
+    /// delivered, only to an endpoint that drops the repeat. Returns `None` if it must not be sent there.
+    pub(super) fn sendable_until(&self, now: Micros, message: &Message, to: &AttemptStart) -> Option<Micros> {
         let accepted = &message.accepted;
-        let may_repeat = match (&accepted.possible_delivery, self.idempotency_of(accepted)) {
-            (None, _) | (_, Idempotency::Idempotent) => true,
-            (Some(_), Idempotency::NonIdempotent) => false,
-            (Some(first), Idempotency::IdempotencyKey { scope, window }) => {
-                let in_window = now < first.started_at.saturating_add(window);
-                in_window && self.is_in_scope(now, scope, first, to)
-            }
+        let Some(first) = &accepted.possible_delivery else { return Some(accepted.deadline) };
+        let idempotency = self.idempotency_of(accepted);
+        let is_in_scope = match idempotency {
+            Idempotency::IdempotencyKey { scope, .. } => self.is_in_scope(now, scope, first, to),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => true,
         };
-        may_repeat && now < accepted.deadline
+        is_in_scope.then(|| idempotency.repeat_until(first.started_at).min(accepted.deadline))
     }
 
     /// Returns whether `to` recognizes a repeat of the message that the first attempt may have delivered.
@@ -64,14 +63,14 @@
         let offered_at = accepted.handover.offered.as_ref().map(|offered| offered.offered_at);
         let started_at = accepted.possible_delivery.as_ref().map(|start| start.started_at);
         let Some(first) = started_at.into_iter().chain(offered_at).min() else { return true };
-        match self.idempotency_of(accepted) {
-            Idempotency::Idempotent => true,
-            Idempotency::NonIdempotent => false,
-            Idempotency::IdempotencyKey { scope, window } => {
-                let is_in_scope = offered_at.is_none() || scope == DeduplicationScope::All;
-                is_in_scope && now < first.saturating_add(window)
+        let idempotency = self.idempotency_of(accepted);
+        let is_in_scope = match idempotency {
+            Idempotency::IdempotencyKey { scope, .. } => {
+                offered_at.is_none() || scope == DeduplicationScope::All
             }
-        }
+            Idempotency::Idempotent | Idempotency::NonIdempotent => true,
+        };
+        is_in_scope && now < idempotency.repeat_until(first)
     }
 
     /// Returns whether a message that waited for its owner and is not delivered may be rejected, which allows its
--- a/crates/forwarder/tests/common/world.rs
+++ b/crates/forwarder/tests/common/world.rs
@@ -19,6 +19,11 @@
 use std::future::Future;
 use std::pin::Pin;
 
+/// Longest pause of the forwarder between its look at the clock and the write that follows.
+const LONGEST_PAUSE: Micros = 150_000;
+/// Time by which the protocol extends every time limit on sockets.
+const SOCKET_TOLERANCE: Micros = 50_000;
+
 /// A connection as the endpoint sees it.
 #[derive(Default)]
 pub struct SimulatedConnection {
@@ -345,7 +350,10 @@
                 }
                 (Shape::Second, Some((first, zone))) if message.restricts_repeats => {
                     assert_eq!(*zone, endpoint.zone, "a repeat must go to the zone that drops it");
-                    assert!(self.now < first + 2 * SECOND, "a repeat must not be sent after its window");
+                    assert!(
+                        self.now + LONGEST_PAUSE < first + 2 * SECOND + SOCKET_TOLERANCE,
+                        "a repeat must not be sent after its window, even if a pause delays its write"
+                    );
                 }
                 (Shape::Second, _) => {}
             }
--- a/crates/forwarder/tests/endpoint_call.rs
+++ b/crates/forwarder/tests/endpoint_call.rs
@@ -63,7 +63,7 @@
         body: Bytes::from_static(b"hello"),
     };
     let call_messages = vec![message("a", Some("5c\"0f")), message("b", None)];
-    let call = EndpointCall { messages: call_messages, is_bulk: true, time_left: 1, deadline: 1 };
+    let call = EndpointCall { messages: call_messages, is_bulk: true, time_left: 1, deadline: 1, send_by: 1 };
     let text = call.body();
     let expected = r#"[{"id":"a","key":"5c\"0f","body":"aGVsbG8="},{"id":"b","body":"aGVsbG8="}]"#;
     assert_eq!(text, expected);
--- a/crates/forwarder/tests/endpoint_connection.rs
+++ b/crates/forwarder/tests/endpoint_connection.rs
@@ -39,7 +39,7 @@
     let forwarder_side = async {
         assert!(matches!(reports.recv().await, Some(Input::ConnectionUp { .. })));
         sender
-            .send(ScheduledCall { call: call.clone(), deadline: call_deadline })
+            .send(ScheduledCall { call: call.clone(), deadline: call_deadline, send_by: call_deadline })
             .expect("the connection task is running");
         let mut end = async || {
             loop {
@@ -51,7 +51,7 @@
         };
         let first = end().await.expect("the first call ends");
         let deadline = Instant::now() + Duration::from_millis(300);
-        let _ = sender.send(ScheduledCall { call: call.clone(), deadline });
+        let _ = sender.send(ScheduledCall { call: call.clone(), deadline, send_by: deadline });
         (first, matches!(end().await, Some(Input::CallAnswered { .. })))
     };
     tokio::select! {
@@ -146,6 +146,7 @@
         is_bulk: bulk,
         time_left: 1_000_000,
         deadline: 0,
+        send_by: 0,
     }
 }
 
@@ -180,7 +181,11 @@
     }
 
     fn send(&self, time_limit: Duration) {
-        let scheduled = ScheduledCall { call: call_of(false), deadline: Instant::now() + time_limit };
+        let deadline = Instant::now() + time_limit;
+        self.schedule(ScheduledCall { call: call_of(false), deadline, send_by: deadline });
+    }
+
+    fn schedule(&self, scheduled: ScheduledCall) {
         self.calls.as_ref().expect("not cancelled").send(scheduled).expect("the connection task is running");
     }
 
@@ -372,11 +377,9 @@
         connection.endpoint.write_all(&[OK, OK].concat()).expect("the write succeeds");
         assert!(matches!(connection.next().await, Input::CallAnswered { .. }));
         // The connection's task may have ended, or may not yet have noticed the bytes.
-        let _ = connection
-            .calls
-            .as_ref()
-            .expect("not cancelled")
-            .send(ScheduledCall { call: call_of(false), deadline: Instant::now() + TEST_TIMEOUT });
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        let call = ScheduledCall { call: call_of(false), deadline, send_by: deadline };
+        let _ = connection.calls.as_ref().expect("not cancelled").send(call);
         let end = connection.next().await;
         assert!(
             matches!(&end, Input::ConnectionClosed { error, .. } if error.progress != Progress::FullyWritten),
@@ -414,3 +417,26 @@
         }
     });
 }
+
+// Guards against a repeat that is written after its deduplication window. The forwarder was paused after the reducer had
+// decided on the call and before the connection wrote it.
+#[test]
+fn call_that_is_late_is_not_written_and_leaves_the_connection_open() {
+    run_test(async {
+        let mut connection = TestConnection::connect().await;
+        let now = Instant::now();
+        connection.schedule(ScheduledCall {
+            call: call_of(false),
+            deadline: now + TEST_TIMEOUT,
+            send_by: now,
+        });
+        assert!(matches!(connection.next().await, Input::CallExpired { connection: 1 }));
+        connection.endpoint.set_nonblocking(true).expect("the socket call succeeds");
+        let read = connection.endpoint.read(&mut [0; 1]);
+        assert!(
+            read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock),
+            "a byte was written"
+        );
+        connection.make_idle().await;
+    });
+}
--- a/crates/forwarder/tests/reducer_calls.rs
+++ b/crates/forwarder/tests/reducer_calls.rs
@@ -202,3 +202,46 @@
     world.post(true);
     assert_eq!(world.messages["held"].notification, Some(FinalAnswer::Failed));
 }
+
+// Guards against a repeat that reaches its endpoint after its deduplication window. Its connection was established
+// shortly before the end of the window, and a pause of 150 ms before the write would have made it late.
+#[test]
+fn repeat_that_a_pause_could_delay_beyond_its_window_is_not_sent() {
+    let mut world = World::of(Shape::Second);
+    world.submit("held".to_owned(), true, 3, 10);
+    world.wait(10_000);
+    world.step(1, Step::Connect { selector: 0, established: true });
+    world.wait(1_500_000);
+    world.step(1, Step::Break(0));
+    world.wait(300_000);
+    assert!(
+        world.pick_connection(0, |connection| !connection.established).is_some(),
+        "a connection for the repeat must have been requested"
+    );
+    world.wait(120_000);
+    world.step(1, Step::Connect { selector: 0, established: true });
+    assert_eq!(world.messages["held"].calls, 1, "a pause could delay the repeat beyond the window of 2 s");
+    world.wait(SECOND);
+    world.post(true);
+    assert_eq!(world.messages["held"].notification, Some(FinalAnswer::Failed));
+}
+
+// Guards against a message that counts as possibly delivered, or is never sent, because its call was held up until it
+// was too late to write it.
+#[test]
+fn message_of_a_call_that_was_too_late_is_sent_again() {
+    let mut world = World::new();
+    world.submit("order".to_owned(), true, 2, 10);
+    world.wait(10_000);
+    world.step(0, Step::Connect { selector: 0, established: true });
+    let connection_id =
+        world.pick_connection(0, |connection| connection.call.is_some()).expect("the call is written");
+    let connection = world.connections.get_mut(&connection_id).expect("the connection is open");
+    connection.call.take();
+    world.messages.get_mut("order").expect("the message was submitted").calls -= 1;
+    world.input(Input::CallExpired { connection: connection_id });
+    world.wait(SECOND);
+    assert_eq!(world.messages["order"].calls, 1, "the order must be sent on the same connection");
+    world.answer(0, 0);
+    assert!(world.messages["order"].delivered);
+}
--- a/crates/forwarder/tests/reducer_restarts.rs
+++ b/crates/forwarder/tests/reducer_restarts.rs
@@ -284,7 +284,9 @@
         assert_eq!(written.len(), 1, "the first attempt must be in flight");
         let first = written[0];
         let (written, posted) = run_with_one_second_window(&mut file, None, first + gap, 4 * SECOND);
-        assert!(written.iter().all(|at| *at < first + SECOND), "{gap}: {written:?} after {first}");
+        // A pause of 150 ms before the write must not delay a repeat beyond the window and the 50 ms of sockets.
+        let last_at = first + SECOND - 100_000;
+        assert!(written.iter().all(|at| *at < last_at), "{gap}: {written:?} after {first}");
         assert!(
             !written.is_empty() || !repeats || gap > 850_000,
             "{gap}: a repeat must be sent, because there was time for it"
--- a/crates/forwarder/tests/wire_outbound.rs
+++ b/crates/forwarder/tests/wire_outbound.rs
@@ -64,7 +64,11 @@
         loop {
             match inputs.recv().await.expect("the call ends") {
                 Input::ConnectionUp { .. } => calls
-                    .send(ScheduledCall { call: call.clone(), deadline: test_deadline() })
+                    .send(ScheduledCall {
+                        call: call.clone(),
+                        deadline: test_deadline(),
+                        send_by: test_deadline(),
+                    })
                     .expect("the connection task is running"),
                 Input::CallAnswered { reply, .. } => return reply,
                 Input::ConnectionClosed { error, .. } => panic!("{error}"),
@@ -88,12 +92,13 @@
         is_bulk: false,
         time_left: 1_500_000,
         deadline: 0,
+        send_by: 0,
     }
 }
 
 fn bulk_call() -> EndpointCall {
     let messages = vec![message("9b1f", Some("5c\"0f"), b"hello"), message("9b20", None, b"\xff\x00")];
-    EndpointCall { messages, is_bulk: true, time_left: 2_000_400, deadline: 0 }
+    EndpointCall { messages, is_bulk: true, time_left: 2_000_400, deadline: 0, send_by: 0 }
 }
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
