Accept a submission with a known id only if it is the same message

What callers saw: a client's request arrived in two parts, and meanwhile another client sent a whole request with the same id for another destination. Both were answered 202.

Cause: a submission whose id is known was answered as the known message is, by the id alone (join_known_message), and an id became known only with a whole request. So the later client took the id, and the first client's message counted as a repeat of it.

Change: the content (class, tenant, key, destination, body) of a submission with a known id is compared with the known message, of finished ones by a digest kept beside their id in memory. Other content is answered 503 "the id is in use". Requests with one id that are being read keep the order of their heads (ReadingOrder): a later one waits until the first is submitted or gone, at most 250 ms, and is answered 503 after that. So the client that began first is served, and none is told 202 for a message that is not its own. The same message submitted again is accepted as before.

No request waits but one with the id of a request that is still arriving.

--- a/crates/forwarder/src/client_api.rs
+++ b/crates/forwarder/src/client_api.rs
@@ -4,6 +4,8 @@
 //! Each client connection uses this module. Nothing else in the forwarder depends on the protocol. Another API would
 //! submit the same values and map the same answers to its own responses.
 
+mod reading_order;
+
 use crate::input::{IDEMPOTENCY_KEY, Input, RequestId, Submission, SubmitAnswer};
 use crate::ownership::ReceivedMark;
 use bytes::Bytes;
@@ -12,6 +14,7 @@
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use orchidyoke_core::interface::{DestinationId, Micros};
+use reading_order::{ReadingOrder, Turn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::ops::RangeInclusive;
@@ -35,12 +38,18 @@
     inputs: UnboundedSender<Input>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<SubmitAnswer>>>,
     next_request: Cell<RequestId>,
+    reading_order: Rc<ReadingOrder>,
 }
 
 impl ClientGateway {
     /// Returns a gateway to the reducer that receives `inputs`.
     pub fn new(inputs: UnboundedSender<Input>) -> Rc<Self> {
-        Rc::new(ClientGateway { inputs, waiting: RefCell::default(), next_request: Cell::new(0) })
+        Rc::new(ClientGateway {
+            inputs,
+            waiting: RefCell::default(),
+            next_request: Cell::new(0),
+            reading_order: Rc::default(),
+        })
     }
 
     /// Answers a waiting request. Does nothing if its client has closed the connection.
@@ -50,13 +59,20 @@
         }
     }
 
-    async fn submit(&self, message: Submission) -> SubmitAnswer {
+    /// Submits a message when it is its turn. The turn ends with that: from then on the reducer knows the message's id.
+    async fn submit(&self, mut message: Submission, mut turn: Turn) -> SubmitAnswer {
+        let read_at = Instant::now();
+        if turn.wait().await.is_err() {
+            return SubmitAnswer::IdInUse;
+        }
+        message.time_left -= read_at.elapsed().as_micros() as Micros;
         let request = self.next_request.get();
         self.next_request.set(request + 1);
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(request, sender);
         let _guard = WaitingRequest { gateway: self, request };
         self.report(Input::Submitted { request, message });
+        drop(turn);
         receiver.await.unwrap_or(SubmitAnswer::Failed)
     }
 
@@ -127,8 +143,8 @@
     if request.uri().path() == "/healthz" {
         return health_response(request.method(), is_shutting_down);
     }
-    match read_request(request).await {
-        Ok(message) => submit_response(gateway.submit(message).await),
+    match read_request(gateway, request).await {
+        Ok((message, turn)) => submit_response(gateway.submit(message, turn).await),
         Err(error) => error.into_response(),
     }
 }
@@ -141,7 +157,11 @@
     }
 }
 
-async fn read_request(request: Request<Incoming>) -> Result<Submission, RequestError> {
+/// Reads a message. Its turn among the requests with the same id is taken when its head has been read.
+async fn read_request(
+    gateway: &ClientGateway,
+    request: Request<Incoming>,
+) -> Result<(Submission, Turn), RequestError> {
     let received_at = Instant::now();
     if request.method() != Method::POST {
         return Err(RequestError { status: StatusCode::METHOD_NOT_ALLOWED, text: "POST only\n" });
@@ -152,10 +172,11 @@
     let (parts, body) = request.into_parts();
     let class = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let mut message = parse_head(class, &parts.headers)?;
+    let turn = gateway.reading_order.register(&message.id);
     message.body = read_body(body).await?;
     // The time left counts from the start of the request, not from the end of its body.
     message.time_left -= received_at.elapsed().as_micros() as Micros;
-    Ok(message)
+    Ok((message, turn))
 }
 
 async fn read_body(body: Incoming) -> Result<Bytes, RequestError> {
@@ -261,6 +282,7 @@
     match answer {
         SubmitAnswer::Accepted => plain_response(StatusCode::ACCEPTED, ""),
         SubmitAnswer::Rejected(retry_after) => rejected_response(retry_after),
+        SubmitAnswer::IdInUse => plain_response(StatusCode::SERVICE_UNAVAILABLE, "the id is in use\n"),
         SubmitAnswer::Failed => plain_response(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"),
         SubmitAnswer::Incomplete(text) => plain_response(StatusCode::BAD_REQUEST, text),
         SubmitAnswer::UnknownClass => plain_response(StatusCode::NOT_FOUND, "there is no such class\n"),
--- /dev/null
+++ b/crates/forwarder/src/client_api/reading_order/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+use std::future::Future;
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
+
+/// Runs a test in a runtime with timers.
+fn run(test: impl Future<Output = ()>) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().build().expect("the runtime starts");
+    runtime.block_on(test);
+}
+
+fn poll_once<T>(future: std::pin::Pin<&mut impl Future<Output = T>>) -> Poll<T> {
+    future.poll(&mut Context::from_waker(Waker::noop()))
+}
+
+// Guards against a whole request that takes the id of one whose body is still arriving.
+#[test]
+fn later_request_waits_until_the_earlier_one_is_gone() {
+    run(async {
+        let order = Rc::new(ReadingOrder::default());
+        let mut earlier = order.register("a");
+        let mut later = order.register("a");
+        assert!(poll_once(pin!(earlier.wait())) == Poll::Ready(Ok(())), "the first request never waits");
+        {
+            let mut wait = pin!(later.wait());
+            assert!(poll_once(wait.as_mut()).is_pending());
+            drop(earlier);
+            assert!(poll_once(wait) == Poll::Ready(Ok(())));
+        }
+        drop(later);
+        assert!(order.locks.borrow().is_empty(), "an id must not be kept after its requests");
+    });
+}
+
+// Guards against a client whose request never becomes whole and keeps others with its id from being answered.
+#[test]
+fn later_request_waits_for_a_limited_time() {
+    run(async {
+        let order = Rc::new(ReadingOrder::default());
+        let _earlier = order.register("a");
+        assert!(order.register("a").wait().await.is_err());
+    });
+}
+
+#[test]
+fn requests_with_other_ids_do_not_wait() {
+    run(async {
+        let order = Rc::new(ReadingOrder::default());
+        let _earlier = order.register("a");
+        assert!(poll_once(pin!(order.register("b").wait())).is_ready());
+        assert_eq!(order.locks.borrow().len(), 1);
+    });
+}
--- a/crates/forwarder/src/input.rs
+++ b/crates/forwarder/src/input.rs
@@ -88,6 +88,8 @@
     Accepted,
     /// Rejected. The client may safely submit it again after this time, in microseconds.
     Rejected(Micros),
+    /// Rejected, because another message has the same id. The client may safely submit it again under another id.
+    IdInUse,
     /// Failed: the forwarder makes no further attempt to deliver the message.
     Failed,
     /// The request lacks something that the settings require, or cannot be read. Holds the text of the answer.
--- a/crates/forwarder/src/reducer/final_answers.rs
+++ b/crates/forwarder/src/reducer/final_answers.rs
@@ -1,6 +1,7 @@
 //! Final answers: the end of each message, the ids of finished messages, and the answers for which the platform has yet
 //! to accept a notification.
 
+use super::message_content::{ContentDigest, KnownContent};
 use super::{Reducer, SECOND_US};
 use crate::input::{Effect, SubmitAnswer};
 use crate::metrics::MessageEnd;
@@ -30,6 +31,8 @@
     pub id: String,
     /// When it was finished.
     pub at: Micros,
+    /// What it delivered; `None` if the journal no longer has it.
+    pub content: Option<ContentDigest>,
 }
 
 /// The final answer to a message that was accepted and not delivered.
@@ -39,6 +42,8 @@
     pub id: String,
     pub answer: FinalAnswer,
     pub decided_at: Micros,
+    /// What the message was to deliver; `None` if the journal no longer has it.
+    pub content: Option<ContentDigest>,
 }
 
 impl DecidedAnswer {
@@ -58,7 +63,7 @@
 /// Ids of finished messages, bounded in time and number.
 #[derive(Debug)]
 pub(super) struct FinishedIds {
-    finished_at: HashMap<String, Micros>,
+    contents: HashMap<String, Option<ContentDigest>>,
     order: VecDeque<FinishedId>,
     max_ids: usize,
     bytes: usize,
@@ -67,7 +72,7 @@
 impl FinishedIds {
     /// Creates an empty set with at most `max_ids` ids.
     pub fn new(max_ids: usize) -> Self {
-        FinishedIds { finished_at: HashMap::new(), order: VecDeque::new(), max_ids, bytes: 0 }
+        FinishedIds { contents: HashMap::new(), order: VecDeque::new(), max_ids, bytes: 0 }
     }
 
     /// Sets another maximum number of ids.
@@ -77,7 +82,12 @@
 
     /// Returns whether a message is remembered as finished.
     pub fn contains(&self, id: &str) -> bool {
-        self.finished_at.contains_key(id)
+        self.contents.contains_key(id)
+    }
+
+    /// Returns what is known of the content of a message that is remembered as finished.
+    pub fn content_of(&self, id: &str) -> Option<KnownContent> {
+        self.contents.get(id).copied().map(KnownContent)
     }
 
     /// Returns an upper estimate of the bytes in a snapshot.
@@ -91,17 +101,18 @@
     }
 
     /// Adds the id of a finished message. Removes ids that are too old or exceed the maximum number.
-    pub fn remember(&mut self, id: String, at: Micros) {
-        self.order.push_back(FinishedId { id: id.clone(), at });
+    pub fn remember(&mut self, finished: FinishedId) {
+        let FinishedId { id, at, content } = finished.clone();
+        self.order.push_back(finished);
         let size = id_size(&id);
-        if self.finished_at.insert(id, at).is_none() {
+        if self.contents.insert(id, content).is_none() {
             self.bytes += size;
         }
         while let Some(first) = self.order.front()
             && (at - first.at > FINISHED_ID_LIFETIME_US || self.order.len() > self.max_ids)
         {
             if let Some(first) = self.order.pop_front()
-                && self.finished_at.remove(&first.id).is_some()
+                && self.contents.remove(&first.id).is_some()
             {
                 self.bytes -= id_size(&first.id);
             }
@@ -140,6 +151,15 @@
         self.pending_by_id.contains_key(id)
     }
 
+    /// Returns what is known of the content of a message whose answer is pending.
+    pub fn content_of(&self, id: &str) -> Option<KnownContent> {
+        if !self.contains(id) {
+            return None;
+        }
+        let answer = self.answers.iter().find(|answer| answer.id == id);
+        answer.map(|answer| KnownContent(answer.content))
+    }
+
     /// Returns whether no answer is pending.
     pub fn is_empty(&self) -> bool {
         self.answers.is_empty()
@@ -180,15 +200,18 @@
         Some(posted.map(|answer| (answer.id.clone(), answer.answer)).collect())
     }
 
-    /// Handles the end of a post. Returns the ids of the accepted notifications. If the post failed, returns no ids and
-    /// delays the next post.
-    fn on_posted(&mut self, now: Micros, accepted: bool) -> Vec<String> {
+    /// Handles the end of a post. Returns the messages of the accepted notifications, finished now. If the post failed,
+    /// returns none and delays the next post.
+    fn on_posted(&mut self, now: Micros, accepted: bool) -> Vec<FinishedId> {
         let posted = std::mem::take(&mut self.posting);
         if !accepted {
             self.post_at = now + NOTIFICATION_RETRY_US;
             return Vec::new();
         }
-        self.answers.iter().take(posted).map(|answer| answer.id.clone()).collect()
+        let posted = self.answers.iter().take(posted);
+        let finished =
+            posted.map(|answer| FinishedId { id: answer.id.clone(), at: now, content: answer.content });
+        finished.collect()
     }
 
     /// Removes the first `count` answers.
@@ -227,7 +250,12 @@
     ) {
         let Some(message) = self.messages.get(number) else { return };
         if message.stored {
-            let decided = DecidedAnswer { id: message.accepted.id.clone(), answer, decided_at: now };
+            let decided = DecidedAnswer {
+                id: message.accepted.id.clone(),
+                answer,
+                decided_at: now,
+                content: Some(message.content()),
+            };
             self.append_record(&decided.record());
             self.final_answers.push(decided);
         }
@@ -249,13 +277,13 @@
     /// Finishes a message that is delivered, which needs no notification.
     pub(super) fn finish_delivered(&mut self, now: Micros, number: MessageId) {
         let Some(message) = self.messages.get(number) else { return };
-        let id = message.accepted.id.clone();
-        self.append_record(&Record::Finished { message: id.clone(), at: now });
+        let finished = message.finished(now);
+        self.append_record(&finished.record());
         if let Some(message) = self.drop_message(number) {
             let latency = message.received_at.map(|received_at| now - received_at);
             self.metrics.on_delivered(&message.accepted.class, latency);
         }
-        self.finished.remember(id, now);
+        self.finished.remember(finished);
     }
 
     /// Posts the next notifications if they are due.
@@ -267,13 +295,10 @@
 
     /// Handles the end of a post. If the platform `accepted` the notifications, records their messages as finished.
     pub(super) fn on_notifications_posted(&mut self, now: Micros, accepted: bool) {
-        let ids = self.final_answers.on_posted(now, accepted);
-        let finished = |id: &String| Record::Finished { message: id.clone(), at: now };
-        let records: Vec<Record> = ids.iter().map(finished).collect();
+        let finished = self.final_answers.on_posted(now, accepted);
+        let records: Vec<Record> = finished.iter().map(FinishedId::record).collect();
         self.append_all(&records, None);
-        self.final_answers.forget(ids.len());
-        for id in ids {
-            self.finished.remember(id, now);
-        }
+        self.final_answers.forget(finished.len());
+        finished.into_iter().for_each(|finished| self.finished.remember(finished));
     }
 }
--- a/crates/forwarder/src/reducer/handover.rs
+++ b/crates/forwarder/src/reducer/handover.rs
@@ -197,14 +197,14 @@
     /// Finishes a message that its owner has accepted.
     fn finish_handed_over(&mut self, now: Micros, number: MessageId) {
         let Some(message) = self.messages.get(number) else { return };
-        let message_id = message.accepted.id.clone();
+        let finished = message.finished(now);
         let offered = message.accepted.handover.offered.as_ref();
         let owner = offered.map_or_else(String::new, |offered| offered.owner.clone());
-        self.append_record(&Record::HandedOver { message: message_id.clone(), owner, at: now });
+        self.append_record(&Record::HandedOver { message: finished.id.clone(), owner, at: now });
         self.ownership.count_handed_over();
         self.metrics.on_left_this_process();
         self.drop_message(number);
-        self.finished.remember(message_id, now);
+        self.finished.remember(finished);
     }
 
     /// Records that the owner did not accept the message.
--- a/crates/forwarder/src/reducer/message_table.rs
+++ b/crates/forwarder/src/reducer/message_table.rs
@@ -1,6 +1,8 @@
 //! The messages that this process holds, from submission to the final answer, by number and by id. The number
 //! identifies a message within this process only.
 
+use super::final_answers::FinishedId;
+use super::message_content::ContentDigest;
 use crate::input::RequestId;
 use bytes::Bytes;
 use orchidyoke_core::interface::{MessageId, Micros};
@@ -34,6 +36,16 @@
 }
 
 impl Message {
+    /// Returns the digest of what it delivers.
+    pub fn content(&self) -> ContentDigest {
+        ContentDigest::of_accepted(&self.accepted, &self.body)
+    }
+
+    /// Returns what is remembered of it when it is finished.
+    pub fn finished(&self, at: Micros) -> FinishedId {
+        FinishedId { id: self.accepted.id.clone(), at, content: Some(self.content()) }
+    }
+
     /// Returns an upper estimate of the bytes of the message in a snapshot.
     pub fn size(&self) -> usize {
         let accepted = &self.accepted;
--- a/crates/forwarder/src/reducer/mod.rs
+++ b/crates/forwarder/src/reducer/mod.rs
@@ -19,6 +19,7 @@
 mod handover;
 mod handover_schedule;
 mod listed_endpoints;
+mod message_content;
 mod message_table;
 mod operator_overrides;
 mod ownership;
--- a/crates/forwarder/src/reducer/recovered_state.rs
+++ b/crates/forwarder/src/reducer/recovered_state.rs
@@ -4,6 +4,7 @@
 //! process shares the folder.
 
 use super::final_answers::{DecidedAnswer, FinishedId};
+use super::message_content::ContentDigest;
 use super::operator_overrides::{OperatorOverrides, OverrideChange};
 use super::route_state::{FaultyRoutes, RouteKey};
 use bytes::Bytes;
@@ -64,8 +65,8 @@
             }
             Record::AttemptNotSent { message } => self.change(&message, |accepted| accepted.attempts += 1),
             Record::AnswerDecided { message, at, answer } => {
-                self.accepted.remove(&message);
-                self.pending_answers.push(DecidedAnswer { id: message, answer, decided_at: at });
+                let content = self.remove_accepted(&message);
+                self.pending_answers.push(DecidedAnswer { id: message, answer, decided_at: at, content });
             }
             Record::Finished { message, at } | Record::HandedOver { message, at, .. } => {
                 self.finish(message, at);
@@ -127,11 +128,20 @@
         }
     }
 
+    /// Removes a message that has its final answer. Returns what it was to deliver, if the file still has it.
+    fn remove_accepted(&mut self, id: &str) -> Option<ContentDigest> {
+        let (accepted, body) = self.accepted.remove(id)?;
+        Some(ContentDigest::of_accepted(&accepted, &body))
+    }
+
     /// Marks a message as finished, so that it needs no notification.
     fn finish(&mut self, id: String, at: Micros) {
-        self.accepted.remove(&id);
-        self.pending_answers.retain(|other| other.id != id);
-        self.finished.push(FinishedId { id, at });
+        let mut content = self.remove_accepted(&id);
+        self.pending_answers.retain(|other| {
+            content = content.or(other.content.filter(|_| other.id == id));
+            other.id != id
+        });
+        self.finished.push(FinishedId { id, at, content });
         if self.finished.len() > 2 * MIN_FINISHED_IDS_KEPT {
             self.finished.drain(..MIN_FINISHED_IDS_KEPT);
         }
--- a/crates/forwarder/src/reducer/start.rs
+++ b/crates/forwarder/src/reducer/start.rs
@@ -37,7 +37,7 @@
         let configured_list = std::mem::replace(&mut config.initial_list, EndpointList::default().snapshot());
         let mut reducer = Reducer::with_components(config, generation, &mut recovered, journal_size, now);
         for finished in std::mem::take(&mut recovered.finished) {
-            reducer.finished.remember(finished.id, finished.at);
+            reducer.finished.remember(finished);
         }
         reducer.metrics.register_classes(&reducer.names.classes);
         let recovered_list = std::mem::take(&mut recovered.endpoint_list);
--- a/crates/forwarder/src/reducer/submission.rs
+++ b/crates/forwarder/src/reducer/submission.rs
@@ -5,6 +5,7 @@
 
 use super::Reducer;
 use super::durability::AfterAppend;
+use super::message_content::{ContentDigest, KnownContent};
 use super::message_table::{DecidedMessage, Message, message_size};
 use crate::input::{RequestId, Submission, SubmitAnswer};
 use crate::metrics::MessageEnd;
@@ -30,8 +31,8 @@
 impl Reducer {
     /// Handles a client's submission of a message.
     pub(super) fn submit(&mut self, now: Micros, request: RequestId, submission: Submission) {
-        if self.join_known_message(request, &submission.id) {
-            return;
+        if let Some(content) = self.known_content(&submission.id) {
+            return self.join_known_message(request, &submission, content);
         }
         let checked = match self.check_submission(&submission) {
             Ok(checked) => checked,
@@ -65,30 +66,31 @@
         self.messages.await_decision(number);
     }
 
-    /// Answers a request for a message that is already known, or lets it wait for the message's answer. Returns whether
-    /// the message is known. A client submits a message again, with the same id, if its connection closes before it
-    /// receives the answer.
-    fn join_known_message(&mut self, request: RequestId, id: &str) -> bool {
-        if self.finished.contains(id) || self.final_answers.contains(id) {
-            self.answer(request, SubmitAnswer::Accepted);
-            return true;
+    /// Returns what is known of the content of the message with this id, or `None` if there is no such message.
+    fn known_content(&self, id: &str) -> Option<KnownContent> {
+        let open = self.messages.number_of(id).and_then(|number| self.messages.get(number));
+        let finished = || self.finished.content_of(id).or_else(|| self.final_answers.content_of(id));
+        let open = || open.map(|message| KnownContent(Some(message.content())));
+        finished().or_else(open).or_else(|| self.upgrade.content_elsewhere(id))
+    }
+
+    /// Answers a request for a message that is already known, or lets it wait for the message's answer. A client
+    /// submits a message again, with the same id, if its connection closes before it receives the answer. A submission
+    /// with other content is another message, which the known one must not stand for.
+    fn join_known_message(&mut self, request: RequestId, submission: &Submission, known: KnownContent) {
+        if !known.may_be(ContentDigest::of_submission(submission)) {
+            self.log(format!("submission rejected, another message has its id id={:?}", submission.id));
+            return self.answer(request, SubmitAnswer::IdInUse);
         }
-        if let Some(number) = self.messages.number_of(id)
-            && let Some(message) = self.messages.get_mut(number)
-        {
-            if message.stored {
-                self.answer(request, SubmitAnswer::Accepted);
-            } else {
+        let number = self.messages.number_of(&submission.id);
+        let undecided = number.and_then(|number| self.messages.get_mut(number)).filter(|known| !known.stored);
+        match (number, undecided) {
+            (Some(number), Some(message)) => {
                 message.waiting_requests.push(request);
                 self.messages.await_decision_again(number);
             }
-            return true;
-        }
-        let is_elsewhere = self.upgrade.other_process_knows(id);
-        if is_elsewhere {
-            self.answer(request, SubmitAnswer::Accepted);
+            _ => self.answer(request, SubmitAnswer::Accepted),
         }
-        is_elsewhere
     }
 
     /// Checks whether a submission has everything that the settings require.
--- a/crates/forwarder/src/reducer/takeover.rs
+++ b/crates/forwarder/src/reducer/takeover.rs
@@ -6,6 +6,7 @@
 use super::Reducer;
 use super::durability::AfterAppend;
 use super::final_answers::{DecidedAnswer, FinishedId};
+use super::message_content::ContentDigest;
 use crate::input::Effect;
 use crate::metrics::MessageEnd;
 use bytes::Bytes;
@@ -101,8 +102,8 @@
             ));
             self.finish_without_room(now, &mut takeover);
         }
-        for FinishedId { id, at } in takeover.finished {
-            self.finished.remember(id, at);
+        for finished in takeover.finished {
+            self.finished.remember(finished);
         }
         for answer in takeover.pending_answers {
             self.final_answers.push(answer);
@@ -132,7 +133,7 @@
     /// Gives the messages of an ended process their final answers, because the folder has no room for the messages.
     fn finish_without_room(&mut self, now: Micros, takeover: &mut Takeover) {
         let retry_after_ms = self.no_room_retry_after() / 1000;
-        for (accepted, _) in std::mem::take(&mut takeover.messages) {
+        for (accepted, body) in std::mem::take(&mut takeover.messages) {
             let may_be_delivered = accepted.possible_delivery.is_some() || accepted.in_flight.is_some();
             let (answer, end) = if may_be_delivered {
                 (FinalAnswer::Failed, MessageEnd::Error)
@@ -140,7 +141,9 @@
                 (FinalAnswer::Rejected { retry_after_ms }, MessageEnd::Overload)
             };
             self.metrics.on_ended_before_accepted(&accepted.class, end);
-            takeover.pending_answers.push(DecidedAnswer { id: accepted.id, answer, decided_at: now });
+            let content = Some(ContentDigest::of_accepted(&accepted, &body));
+            let decided = DecidedAnswer { id: accepted.id, answer, decided_at: now, content };
+            takeover.pending_answers.push(decided);
         }
         let records: Vec<_> = takeover.pending_answers.iter().map(DecidedAnswer::record).collect();
         self.append_all(&records, None);
--- a/crates/forwarder/src/reducer/upgrade.rs
+++ b/crates/forwarder/src/reducer/upgrade.rs
@@ -10,6 +10,7 @@
 use super::Reducer;
 use super::durability::AfterAppend;
 use super::final_answers::id_size;
+use super::message_content::{ContentDigest, KnownContent};
 use super::message_table::message_size;
 use super::operator_overrides::OverrideChange;
 use super::recovered_state::RecoveredState;
@@ -43,6 +44,18 @@
         self.ended || self.state.stage == ProcessStage::HandedOff
     }
 
+    /// Returns what is known of the content of a message that the process holds or held, or `None` if it does not know
+    /// the message.
+    pub fn content_of(&self, id: &str) -> Option<KnownContent> {
+        if let Some((accepted, body)) = self.state.accepted.get(id) {
+            return Some(KnownContent(Some(ContentDigest::of_accepted(accepted, body))));
+        }
+        let pending = self.state.pending_answers.iter().filter(|other| other.id == id);
+        let finished = self.state.finished.iter().filter(|other| other.id == id);
+        let mut contents = pending.map(|other| other.content).chain(finished.map(|other| other.content));
+        contents.next().map(KnownContent)
+    }
+
     /// Returns whether the process holds or held the message.
     pub fn knows(&self, id: &str) -> bool {
         self.state.accepted.contains_key(id)
@@ -150,9 +163,10 @@
         later.any(|(_, other)| !other.ended && other.state.stage == ProcessStage::Ready)
     }
 
-    /// Returns whether another process holds the message or has finished it.
-    pub fn other_process_knows(&self, id: &str) -> bool {
-        self.others.values().any(|other| other.knows(id))
+    /// Returns what is known of the content of a message that another process holds or has finished, or `None` if no
+    /// other process knows the message.
+    pub fn content_elsewhere(&self, id: &str) -> Option<KnownContent> {
+        self.others.values().find_map(|other| other.content_of(id))
     }
 
     /// Returns whether a process after this generation holds the message or has finished it.
@@ -362,7 +376,7 @@
     pub(super) fn release_to_successor(&mut self, number: MessageId) {
         if let Some(message) = self.drop_message(number) {
             self.metrics.on_left_this_process();
-            self.finished.remember(message.accepted.id, self.controller.last_round_at());
+            self.finished.remember(message.finished(self.controller.last_round_at()));
             self.controller.push(Event::Withdrawn { id: number });
         }
     }
--- a/crates/forwarder/tests/common/world.rs
+++ b/crates/forwarder/tests/common/world.rs
@@ -92,6 +92,8 @@
     /// Messages of this process whose calls were completely written.
     pub written_messages: u64,
     pub rejected_requests: u64,
+    /// The id of each submission that was rejected because another message has the same id.
+    pub ids_in_use: Vec<String>,
     pub stopped_accepting: bool,
     pub exited: bool,
     /// Whether the journal was compacted since it was last checked.
@@ -164,6 +166,7 @@
             replies: BTreeMap::new(),
             written_messages: 0,
             rejected_requests: 0,
+            ids_in_use: Vec::new(),
             stopped_accepting: false,
             exited: false,
             compacted: false,
@@ -221,6 +224,8 @@
                         "a message must be in the journal before it is accepted"
                     );
                     self.messages.get_mut(&message_id).expect("the message was submitted").accepted = true;
+                } else if answer == SubmitAnswer::IdInUse {
+                    self.ids_in_use.push(message_id);
                 } else {
                     assert!(matches!(answer, SubmitAnswer::Rejected(_)), "{answer:?}");
                     self.rejected_requests += 1;
--- a/crates/forwarder/tests/reducer_submissions.rs
+++ b/crates/forwarder/tests/reducer_submissions.rs
@@ -150,3 +150,75 @@
             && world.pick_connection(0, |connection| connection.call.is_some()).is_none()
     );
 }
+
+/// The state in which a message is when another submission uses its id.
+#[derive(Clone, Copy, Debug)]
+enum KnownAs {
+    Undecided,
+    Accepted,
+    Delivered,
+    NotificationPending,
+    NotificationAccepted,
+}
+
+/// Returns a world in which the message "a", with a body of 10 bytes, is in this state.
+fn world_with_message(state: KnownAs) -> World {
+    let mut world = World::new();
+    world.submit_for("a".to_owned(), false, 2, 10, SECOND);
+    if matches!(state, KnownAs::Undecided) {
+        return world;
+    }
+    world.wait(10_000);
+    assert!(world.messages["a"].accepted);
+    if matches!(state, KnownAs::Delivered) {
+        world.step(0, Step::Connect { selector: 0, established: true });
+        world.answer(0, 0);
+        assert!(world.messages["a"].delivered);
+    }
+    if matches!(state, KnownAs::NotificationPending | KnownAs::NotificationAccepted) {
+        world.wait(SECOND);
+        assert!(world.posting.is_some(), "the message must have its final answer");
+    }
+    if matches!(state, KnownAs::NotificationAccepted) {
+        world.post(true);
+    }
+    world
+}
+
+const KNOWN: [KnownAs; 5] = [
+    KnownAs::Undecided,
+    KnownAs::Accepted,
+    KnownAs::Delivered,
+    KnownAs::NotificationPending,
+    KnownAs::NotificationAccepted,
+];
+
+// Guards against a message that is accepted and dropped, because another one with its id and other content is known.
+#[test]
+fn submission_with_the_id_of_another_message_is_not_accepted_for_it() {
+    for state in KNOWN {
+        for restarted in [false, true] {
+            let mut world = world_with_message(state);
+            if restarted && !matches!(state, KnownAs::Undecided) {
+                world.restart();
+            }
+            world.submit_for("a".to_owned(), false, 2, 11, SECOND);
+            assert_eq!(world.ids_in_use, ["a"], "{state:?}, restarted: {restarted}");
+            let mut world = world_with_message(state);
+            world.submit_for("a".to_owned(), false, 3, 10, SECOND);
+            assert_eq!(world.ids_in_use, ["a"], "{state:?}: another destination");
+        }
+    }
+}
+
+// Guards against a client that gets a rejection when it submits its message again, because it has no answer yet.
+#[test]
+fn same_message_submitted_again_is_accepted() {
+    for state in KNOWN {
+        let mut world = world_with_message(state);
+        world.submit_for("a".to_owned(), false, 2, 10, SECOND);
+        world.wait(10_000);
+        assert!(world.pending_requests.is_empty() && world.ids_in_use.is_empty(), "{state:?}");
+        assert_eq!(world.rejected_requests, 0, "{state:?}");
+    }
+}
--- a/crates/forwarder/tests/stored_format.rs
+++ b/crates/forwarder/tests/stored_format.rs
@@ -376,6 +376,22 @@
     }
 }
 
+/// Returns the submission of a message that the journal holds, as its client sends it again.
+fn submission_of_stored(message_id: &str) -> Submission {
+    let accepted = stored_records().into_iter().find_map(|record| match record {
+        Record::Accepted(accepted) if accepted.id == message_id => Some(accepted),
+        _ => None,
+    });
+    let accepted = accepted.expect("the journal holds the message");
+    Submission {
+        class: accepted.class,
+        idempotency_key: accepted.idempotency_key,
+        destination: accepted.destination,
+        body: body(message_id),
+        ..submission(message_id)
+    }
+}
+
 #[test]
 fn stored_journal_decodes_to_the_same_records() {
     let (records, complete_bytes) = replay(Bytes::from_static(STORED));
@@ -414,15 +430,17 @@
 #[test]
 fn stored_pending_or_finished_id_is_accepted_at_once() {
     let mut reducer = start(Some(Rc::new(TwoForwarders)), STORED.len());
-    let mut answers = |message_id: &str| -> Vec<SubmitAnswer> {
-        let input = Input::Submitted { request: 1, message: submission(message_id) };
+    let mut answers = |message: Submission| -> Vec<SubmitAnswer> {
+        let input = Input::Submitted { request: 1, message };
         let answer = |effect| if let Effect::Answer { answer, .. } = effect { Some(answer) } else { None };
         reducer.step(START, input).into_iter().filter_map(answer).collect()
     };
     for message_id in PENDING.iter().chain(&ENDED) {
-        assert_eq!(answers(message_id), [SubmitAnswer::Accepted], "{message_id}");
+        assert_eq!(answers(submission_of_stored(message_id)), [SubmitAnswer::Accepted], "{message_id}");
+        let other = answers(submission(message_id));
+        assert_eq!(other, [SubmitAnswer::IdInUse], "{message_id} with the content of another message");
     }
-    assert_eq!(answers("m-new"), [], "a new message must wait for its record");
+    assert_eq!(answers(submission("m-new")), [], "a new message must wait for its record");
 }
 
 #[test]
--- a/crates/forwarder/tests/wire_client.rs
+++ b/crates/forwarder/tests/wire_client.rs
@@ -28,6 +28,7 @@
         "deferred" => SubmitAnswer::Rejected(0),
         "deferred-soon" => SubmitAnswer::Rejected(1_250_000),
         "deferred-long" => SubmitAnswer::Rejected(3_000_000),
+        "id-in-use" => SubmitAnswer::IdInUse,
         "failed" => SubmitAnswer::Failed,
         "incomplete" => SubmitAnswer::Incomplete("words of the reducer\n"),
         "no-class" => SubmitAnswer::UnknownClass,
@@ -111,6 +112,7 @@
         "incomplete",
         "no-class",
         "no-destination",
+        "id-in-use",
     ];
     let (conversation, submitted) = exchange_all(&paths.map(|path| submission(path, "")));
     assert_golden("client_answers.txt", &conversation);
