Check in the random runs until when a connection may write a call

Cause: no test noticed when the reducer told a connection a time that is too late; the rule and the connection's check had tests, the value handed over had none.

Change: the world of the reducer's random runs compares send_by with the window that a pause leaves and with the deadline. The common beginning of two tests of late repeats is one function. No source of the program changed.

Measured: with send_by set to the end of time the reducer's random runs fail (before this commit no test did); with the program as it is reducer, reducer_calls and reducer_restarts pass.

--- a/crates/forwarder/tests/common/world.rs
+++ b/crates/forwarder/tests/common/world.rs
@@ -355,6 +355,10 @@
                 }
                 (Shape::Second, Some((first, zone))) if message.restricts_repeats => {
                     assert_eq!(*zone, endpoint.zone, "a repeat must go to the zone that drops it");
+                    assert!(
+                        call.send_by + LONGEST_PAUSE < first + 2 * SECOND + SOCKET_TOLERANCE,
+                        "the connection must be told until when it may write a repeat"
+                    );
                     assert!(
                         self.now + LONGEST_PAUSE < first + 2 * SECOND + SOCKET_TOLERANCE,
                         "a repeat must not be sent after its window, even if a pause delays its write"
@@ -362,7 +366,7 @@
                 }
                 (Shape::Second, _) => {}
             }
-            assert!(self.now < message.deadline);
+            assert!(self.now < message.deadline && call.send_by <= message.deadline);
             message.calls += 1;
             assert!(
                 message.calls <= self.shape.attempts(),
--- a/crates/forwarder/tests/reducer_calls.rs
+++ b/crates/forwarder/tests/reducer_calls.rs
@@ -180,10 +180,9 @@
     assert_eq!(sent, 3);
 }
 
-// Guards against a repeat that is sent after its deduplication window. The connection for the repeat was requested in
-// time and established too late.
-#[test]
-fn repeat_after_its_deduplication_window_is_not_sent() {
+/// Returns a world 1.8 s after the first attempt of the message "held" began, whose window is 2 s. The attempt has
+/// failed, and the connection for the repeat is not established yet.
+fn world_with_repeat_waiting_for_its_connection() -> World {
     let mut world = World::of(Shape::Second);
     world.submit("held".to_owned(), true, 3, 10);
     world.wait(10_000);
@@ -195,6 +194,14 @@
         world.pick_connection(0, |connection| !connection.established).is_some(),
         "a connection for the repeat must have been requested"
     );
+    world
+}
+
+// Guards against a repeat that is sent after its deduplication window. The connection for the repeat was requested in
+// time and established too late.
+#[test]
+fn repeat_after_its_deduplication_window_is_not_sent() {
+    let mut world = world_with_repeat_waiting_for_its_connection();
     world.wait(300_000);
     world.step(1, Step::Connect { selector: 0, established: true });
     assert_eq!(world.messages["held"].calls, 1);
@@ -207,17 +214,7 @@
 // shortly before the end of the window, and a pause of 150 ms before the write would have made it late.
 #[test]
 fn repeat_that_a_pause_could_delay_beyond_its_window_is_not_sent() {
-    let mut world = World::of(Shape::Second);
-    world.submit("held".to_owned(), true, 3, 10);
-    world.wait(10_000);
-    world.step(1, Step::Connect { selector: 0, established: true });
-    world.wait(1_500_000);
-    world.step(1, Step::Break(0));
-    world.wait(300_000);
-    assert!(
-        world.pick_connection(0, |connection| !connection.established).is_some(),
-        "a connection for the repeat must have been requested"
-    );
+    let mut world = world_with_repeat_waiting_for_its_connection();
     world.wait(120_000);
     world.step(1, Step::Connect { selector: 0, established: true });
     assert_eq!(world.messages["held"].calls, 1, "a pause could delay the repeat beyond the window of 2 s");
