--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -20,6 +20,7 @@
 mod report;
 mod rollout_stop;
 mod statistics;
+mod surplus_responses;
 mod test_bed;
 
 use clap::{Parser, Subcommand};
@@ -60,7 +61,7 @@
     run: fn(&RunOptions) -> Result<ExperimentReport, ExperimentError>,
 }
 
-const EXPERIMENTS: [Experiment; 9] = [
+const EXPERIMENTS: [Experiment; 10] = [
     Experiment {
         name: "capacity-forwarder",
         shows: "one forwarder's cost by destinations listed and messages waiting, as lines, against the aims",
@@ -109,6 +110,12 @@
         sabotage: "one of ten forwarders is cut off from Consul before the change",
         run: policy_epochs::run,
     },
+    Experiment {
+        name: "surplus-responses",
+        shows: "endpoints send copies of responses, or other surplus bytes, beside restarts: rules violated, by message",
+        sabotage: "the endpoints send no surplus bytes",
+        run: surplus_responses::run,
+    },
     Experiment {
         name: "capacity-control",
         shows: "50, 150 and 450 forwarders without traffic: what control costs at rest, with changes and restarts, in losses",
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -17,6 +17,7 @@
 mod line_protocol;
 mod runtime;
 mod signal;
+pub mod surplus_responses;
 mod temporary_folder;
 
 pub use consul::ConsulServer;
