Report why a connection to an endpoint closed, and which messages a call had

Change: bytes that belong to no call and responses that name other messages have causes of their own (Cause::SurplusBytes, MismatchedResponse), found by one driver of a connection instead of four places that polled it. Log lines: call failed now has connection, reused and messages; connection closed and message given up are new. The figure app_responses_out_of_order is new, the other figures stay. A single call whose 200 lists other messages is in doubt instead of delivered.

Measured: the tests of the package pass, two new ones on real sockets fail before (no such cause; a foreign 200 counted as delivered).

--- a/crates/forwarder/src/connection_pool.rs
+++ b/crates/forwarder/src/connection_pool.rs
@@ -51,7 +51,7 @@
     last_id: EndpointConnectionId,
     idle_timeout: Micros,
     max_connections: usize,
-    /// Connections to a former address of their endpoint.
+    /// Connections that carry no further call, such as those to a former address of their endpoint.
     retired: BTreeSet<EndpointConnectionId>,
     /// A lower bound of the times since when connections have been idle; `None` if none is idle.
     earliest_idle_since: Option<Micros>,
@@ -143,7 +143,14 @@
         self.retired.extend(to_endpoint.map(|(id, _)| *id));
     }
 
-    /// Returns whether a connection goes to a former address of its endpoint.
+    /// Retires one connection. It carries no further call.
+    pub fn retire_connection(&mut self, id: EndpointConnectionId) {
+        if self.connections.contains_key(&id) {
+            self.retired.insert(id);
+        }
+    }
+
+    /// Returns whether a connection is retired.
     pub fn is_retired(&self, id: EndpointConnectionId) -> bool {
         self.retired.contains(&id)
     }
@@ -167,6 +174,16 @@
         self.connections.get(&id)?.state.call()
     }
 
+    /// Returns the endpoint of a connection.
+    pub fn endpoint_of(&self, id: EndpointConnectionId) -> Option<EndpointId> {
+        self.connections.get(&id).map(|connection| connection.endpoint)
+    }
+
+    /// Returns since when a connection has been idle; `None` if it is not.
+    pub fn idle_since(&self, id: EndpointConnectionId) -> Option<Micros> {
+        self.connections.get(&id)?.state.idle_since()
+    }
+
     /// Removes the idle connections to an endpoint and returns them; the caller closes them.
     pub fn take_idle_to(&mut self, endpoint: EndpointId) -> Vec<EndpointConnectionId> {
         self.take_idle(|to, _| to == endpoint)
--- a/crates/forwarder/src/endpoint_call.rs
+++ b/crates/forwarder/src/endpoint_call.rs
@@ -66,7 +66,18 @@
     /// Returns whether the body has the form that the status requires: a successful bulk reply lists the states of
     /// messages.
     pub fn is_readable(&self) -> bool {
-        !self.is_bulk || self.status != 200 || serde_json::from_slice::<Vec<BulkState>>(&self.body).is_ok()
+        !self.is_bulk || self.status != 200 || self.bulk_states().is_some()
+    }
+
+    /// Returns whether the reply states the results of messages that are not in the call. Only the replies to
+    /// successful bulk calls name messages.
+    pub fn names_other_messages(&self, call: &EndpointCall) -> bool {
+        let is_in_call = |state: &BulkState| call.messages.iter().any(|message| message.id == state.id);
+        self.status == 200 && self.bulk_states().is_some_and(|states| !states.iter().all(is_in_call))
+    }
+
+    fn bulk_states(&self) -> Option<Vec<BulkState>> {
+        serde_json::from_slice(&self.body).ok()
     }
 }
 
@@ -184,6 +195,20 @@
     /// The response cannot be read or is incomplete, for this reason.
     #[error("{0}")]
     InvalidResponse(String),
+    /// Bytes arrived while no response was awaited. HTTP/1.1 matches responses to requests only by their order, so no
+    /// later response on the connection can be trusted (RFC 9112, section 9.2).
+    #[error("surplus bytes after a response")]
+    SurplusBytes,
+    /// The response names messages that are not in the call, so it belongs to another call.
+    #[error("the response belongs to another call")]
+    MismatchedResponse,
+}
+
+impl Cause {
+    /// Returns whether the endpoint has sent more than it owes, or responses out of order.
+    pub fn is_out_of_order(&self) -> bool {
+        matches!(self, Cause::SurplusBytes | Cause::MismatchedResponse)
+    }
 }
 
 /// A call that failed.
@@ -214,7 +239,9 @@
             Cause::TimedOut => Outcome::Timeout,
             Cause::Cancelled => Outcome::Cancelled,
             Cause::ConnectionFailed(_) => Outcome::Reset,
-            Cause::InvalidResponse(_) => Outcome::InvalidResponse,
+            Cause::InvalidResponse(_) | Cause::SurplusBytes | Cause::MismatchedResponse => {
+                Outcome::InvalidResponse
+            }
         }
     }
 }
--- a/crates/forwarder/src/endpoint_connection.rs
+++ b/crates/forwarder/src/endpoint_connection.rs
@@ -4,6 +4,7 @@
 //! [`Input::ConnectionClosed`] last. The last report also ends a call that has no answer. A call that arrives too late to
 //! be sent gets [`Input::CallExpired`] instead, and the connection stays open.
 
+use crate::connection_driver::ConnectionDriver;
 use crate::connection_pool::EndpointConnectionId;
 use crate::endpoint_call::{Cause, EndpointCall, EndpointCallError, EndpointReply, Progress};
 use crate::endpoint_exchange::exchange;
@@ -92,14 +93,14 @@
     let stream = MeteredStream { stream, exchange: exchange.clone(), connection, inputs: inputs.clone() };
     let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
     let (sender, driver) = match handshake.await {
-        Ok(pair) => pair,
+        Ok((sender, connection)) => (sender, ConnectionDriver::new(connection, exchange.clone())),
         Err(error) => {
             report.error = connection_failed(Progress::NotConnected, error);
             return;
         }
     };
     let _ = inputs.send(Input::ConnectionUp { connection });
-    let mut http = HttpConnection { id: connection, address, sender, driver: Box::pin(driver), exchange };
+    let mut http = HttpConnection { id: connection, address, sender, driver, exchange };
     report.error = http.carry_calls(&mut calls, &inputs, &mut report.error).await;
 }
 
@@ -121,8 +122,7 @@
     id: EndpointConnectionId,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    /// The future that reads and writes the socket while it is polled. It ends when the connection ends.
-    driver: Pin<Box<http1::Connection<TokioIo<MeteredStream>, Full<Bytes>>>>,
+    driver: ConnectionDriver,
     exchange: SharedExchange,
 }
 
@@ -149,11 +149,11 @@
             self.exchange.begin(body.len());
             *if_panicked = connection_failed(Progress::FullyWritten, "the connection's task panicked");
             match self.carry(&scheduled, body, calls).await {
-                Ok(Answered { reply, close_reason }) => {
-                    let reusable = close_reason.is_none();
+                Ok(Answered { reply, close_cause }) => {
+                    let reusable = close_cause.is_none();
                     let _ = inputs.send(Input::CallAnswered { connection: self.id, reply, reusable });
-                    if let Some(reason) = close_reason {
-                        return connection_failed(Progress::Answered, reason);
+                    if let Some(cause) = close_cause {
+                        return EndpointCallError { progress: Progress::Answered, cause };
                     }
                 }
                 Err(error) => return error,
@@ -167,9 +167,9 @@
     ) -> Result<ScheduledCall, EndpointCallError> {
         tokio::select! {
             biased;
-            ended = &mut self.driver => {
-                let reason = ended.err().map_or("closed".to_owned(), |error| error.to_string());
-                Err(connection_failed(Progress::NotFullyWritten, reason))
+            () = &mut self.driver => {
+                let cause = self.driver.end().cloned().unwrap_or(Cause::Cancelled);
+                Err(EndpointCallError { progress: Progress::NotFullyWritten, cause })
             }
             scheduled = calls.recv() => scheduled.ok_or(cancelled(Progress::NotFullyWritten)),
         }
@@ -186,18 +186,22 @@
         let response = exchange(&mut self.sender, self.address, call, body);
         let end = drive(response, &mut self.driver, calls, *deadline, &self.exchange).await;
         // For a single message, the status line alone tells whether it is delivered.
-        let is_delivered = !call.is_bulk && self.exchange.lock().response.confirms_delivery();
+        let is_delivered =
+            !call.is_bulk && !end.is_mismatched() && self.exchange.lock().response.confirms_delivery();
         match end {
-            ExchangeEnd::Finished { response: Ok(reply), is_open } => {
-                let reusable = is_open && self.is_reusable(*deadline).await;
-                Ok(Answered { reply, close_reason: (!reusable).then_some("closed after its response") })
+            ExchangeEnd::Finished { response: Ok(reply), keeps_connection } => {
+                let reusable = keeps_connection && self.is_reusable(*deadline).await;
+                Ok(Answered { reply, close_cause: (!reusable).then(|| self.close_cause()) })
             }
             ExchangeEnd::Finished { response: Err(_), .. } | ExchangeEnd::Stopped(_) if is_delivered => {
                 let reply = EndpointReply { status: 200, ..EndpointReply::default() };
-                Ok(Answered { reply, close_reason: Some("invalid response after its status line") })
+                let reason = "invalid response after its status line".to_owned();
+                Ok(Answered { reply, close_cause: Some(Cause::InvalidResponse(reason)) })
             }
             ExchangeEnd::Finished { response: Err(cause), .. } | ExchangeEnd::Stopped(cause) => {
-                Err(EndpointCallError { progress: self.exchange.lock().progress(), cause })
+                let exchange = self.exchange.lock();
+                let cause = if exchange.had_pending_input { Cause::SurplusBytes } else { cause };
+                Err(EndpointCallError { progress: exchange.progress(), cause })
             }
         }
     }
@@ -206,45 +210,61 @@
         tokio::select! {
             biased;
             ready = self.sender.ready() => ready.is_ok(),
-            _ = &mut self.driver => false,
+            () = &mut self.driver => false,
             () = sleep_until(deadline) => false,
         }
     }
+
+    /// Returns why the connection closes after a response that was read.
+    fn close_cause(&self) -> Cause {
+        match self.driver.end() {
+            Some(Cause::SurplusBytes) => Cause::SurplusBytes,
+            _ => Cause::ConnectionFailed("closed after its response".to_owned()),
+        }
+    }
 }
 
 /// The answer to a call.
 struct Answered {
     reply: EndpointReply,
-    /// The reason why the connection cannot carry another call; `None` if it can.
-    close_reason: Option<&'static str>,
+    /// Why the connection cannot carry another call; `None` if it can.
+    close_cause: Option<Cause>,
 }
 
 enum ExchangeEnd {
-    /// The response has been read or cannot be read. `is_open` tells whether the connection is still open.
+    /// The response has been read or cannot be read.
     Finished {
         response: Result<EndpointReply, Cause>,
-        is_open: bool,
+        /// Whether the connection was open when the response was read, and the call had not been stopped before.
+        keeps_connection: bool,
     },
     Stopped(Cause),
 }
 
+impl ExchangeEnd {
+    fn is_mismatched(&self) -> bool {
+        matches!(self, ExchangeEnd::Finished { response: Err(Cause::MismatchedResponse), .. })
+    }
+}
+
 /// Drives an exchange until it is finished, cancelled by closing the channel, or timed out.
 async fn drive(
     response: impl Future<Output = Result<EndpointReply, Cause>>,
-    driver: &mut (impl Future<Output = hyper::Result<()>> + Unpin),
+    driver: &mut ConnectionDriver,
     calls: &mut UnboundedReceiver<ScheduledCall>,
     deadline: Instant,
     exchange: &SharedExchange,
 ) -> ExchangeEnd {
     let mut response = pin!(response);
     let mut time_out = pin!(sleep_until(deadline));
-    let mut is_open = true;
     let cause = loop {
         tokio::select! {
             biased;
-            response = &mut response => return ExchangeEnd::Finished { response, is_open },
+            response = &mut response => {
+                return ExchangeEnd::Finished { response, keeps_connection: driver.is_open() };
+            }
             // The bytes that arrived before the close are still to be read.
-            _ = &mut *driver, if is_open => is_open = false,
+            () = &mut *driver, if driver.is_open() => {}
             _ = calls.recv() => break Cause::Cancelled,
             // The time-out is polled last, so that it takes account of bytes that the driver has just read.
             cause = poll_fn(|context| poll_time_out(context, time_out.as_mut(), deadline, exchange)) => {
@@ -252,8 +272,8 @@
             }
         }
     };
-    match receive_last_bytes(response, driver, is_open, exchange).await {
-        Some(response @ Ok(_)) => ExchangeEnd::Finished { response, is_open: false },
+    match receive_last_bytes(response, driver, exchange).await {
+        Some(response @ Ok(_)) => ExchangeEnd::Finished { response, keeps_connection: false },
         Some(Err(_)) | None => ExchangeEnd::Stopped(cause),
     }
 }
@@ -282,8 +302,7 @@
 /// that has begun gets [`LAST_BYTES_TIMEOUT`] for the rest.
 async fn receive_last_bytes(
     mut response: Pin<&mut impl Future<Output = Result<EndpointReply, Cause>>>,
-    driver: &mut (impl Future<Output = hyper::Result<()>> + Unpin),
-    mut is_open: bool,
+    driver: &mut ConnectionDriver,
     exchange: &SharedExchange,
 ) -> Option<Result<EndpointReply, Cause>> {
     let mut rest = pin!(async {
@@ -291,7 +310,7 @@
             tokio::select! {
                 biased;
                 response = &mut response => return response,
-                _ = &mut *driver, if is_open => is_open = false,
+                () = &mut *driver, if driver.is_open() => {}
             }
         }
     });
--- a/crates/forwarder/src/endpoint_exchange.rs
+++ b/crates/forwarder/src/endpoint_exchange.rs
@@ -34,6 +34,9 @@
     if reply.status < 200 || !reply.is_readable() {
         return Err(Cause::InvalidResponse("the response cannot be read".to_owned()));
     }
+    if reply.names_other_messages(call) {
+        return Err(Cause::MismatchedResponse);
+    }
     Ok(reply)
 }
 
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod client_listener;
 mod clock;
 pub mod config;
+mod connection_driver;
 pub mod connection_limit;
 pub mod connection_pool;
 pub mod console;
--- a/crates/forwarder/src/metered_stream.rs
+++ b/crates/forwarder/src/metered_stream.rs
@@ -22,6 +22,10 @@
 pub(crate) struct Exchange {
     pub(crate) request: WriteProgress,
     pub(crate) response: ResponseStart,
+    /// Whether the endpoint has closed its side of the connection, or reading has failed.
+    pub(crate) is_input_closed: bool,
+    /// Whether bytes were waiting on the socket before the first byte of the request.
+    pub(crate) had_pending_input: bool,
 }
 
 impl Exchange {
@@ -68,7 +72,10 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
             Ok(0) => Err(io::Error::new(io::ErrorKind::ConnectionAborted, "closed before the call")),
-            Ok(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "unexpected bytes before the call")),
+            Ok(_) => {
+                self.exchange.lock().had_pending_input = true;
+                Err(io::Error::new(io::ErrorKind::InvalidData, "unexpected bytes before the call"))
+            }
         }
     }
 
@@ -93,8 +100,17 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        let had_room = buffer.remaining() > 0;
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.exchange.lock().response.on_read(&buffer.filled()[before..]);
+        let bytes = &buffer.filled()[before..];
+        let mut exchange = self.exchange.lock();
+        exchange.response.on_read(bytes);
+        exchange.is_input_closed |= match &result {
+            Poll::Ready(Ok(())) => had_room && bytes.is_empty(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        };
+        drop(exchange);
         result
     }
 }
--- a/crates/forwarder/src/metrics.rs
+++ b/crates/forwarder/src/metrics.rs
@@ -58,6 +58,8 @@
     ended: u64,
     /// Number of owned messages that were handed over to another process.
     handed_over: u64,
+    /// Number of connections to endpoints on which bytes arrived that belong to no call or to another call.
+    out_of_order_responses: u64,
 }
 
 /// The current values that the metrics report besides the counters.
@@ -125,6 +127,11 @@
         self.dispatches += count as u64;
     }
 
+    /// Counts a connection to an endpoint on which bytes arrived that belong to no call or to another call.
+    pub fn on_out_of_order_response(&mut self) {
+        self.out_of_order_responses += 1;
+    }
+
     /// Returns the number of messages that this process owns or has owned.
     pub fn accepted(&self) -> u64 {
         self.accepted
@@ -188,7 +195,8 @@
         writeln!(text, "app_dispatches {}", self.dispatches)?;
         writeln!(text, "app_concurrent {}", gauges.open_messages)?;
         writeln!(text, "app_targets {}", gauges.endpoints)?;
-        writeln!(text, "app_targets_disabled {}", gauges.avoided_endpoints)
+        writeln!(text, "app_targets_disabled {}", gauges.avoided_endpoints)?;
+        writeln!(text, "app_responses_out_of_order {}", self.out_of_order_responses)
     }
 }
 
--- a/crates/forwarder/src/reducer/call_results.rs
+++ b/crates/forwarder/src/reducer/call_results.rs
@@ -33,10 +33,12 @@
         reply: &EndpointReply,
         reusable: bool,
     ) {
-        let call = if reusable { self.pool.call_of(connection) } else { self.pool.on_closed(connection) };
-        if reusable {
-            self.pool.release(connection, now);
+        let call = self.pool.call_of(connection);
+        if !reusable {
+            // The connection is about to report why it has closed.
+            self.pool.retire_connection(connection);
         }
+        self.pool.release(connection, now);
         let Some(call) = call.and_then(|id| self.calls.remove(id)) else { return };
         let info = ReplyInfo {
             retry_after: retry_after::to_micros(reply.retry_after_ms),
@@ -76,6 +78,9 @@
         connection: EndpointConnectionId,
         error: &EndpointCallError,
     ) {
+        if error.cause.is_out_of_order() {
+            self.on_out_of_order_response(now, connection, error);
+        }
         let Some(id) = self.pool.on_closed(connection) else { return };
         let Some(call) = self.calls.get_mut(id) else { return };
         // An idle connection may close just when it is chosen. No complete call was written, so the same attempt is
@@ -87,17 +92,47 @@
             return self.connect(now, id, connection);
         }
         if let Some(call) = self.calls.remove(id) {
-            self.fail_call(now, call, error);
+            self.fail_call(now, connection, call, error);
+        }
+    }
+
+    /// Handles bytes from an endpoint that belong to no call, or to another one than the call that awaits a response.
+    fn on_out_of_order_response(
+        &mut self,
+        now: Micros,
+        connection: EndpointConnectionId,
+        error: &EndpointCallError,
+    ) {
+        self.metrics.on_out_of_order_response();
+        let Some(endpoint) = self.pool.endpoint_of(connection) else { return };
+        let idle_us = self.pool.idle_since(connection).map(|since| now - since);
+        if let Some(endpoint) = self.endpoints.get(endpoint) {
+            let (uid, reason) = (&endpoint.uid, error.cause.to_string());
+            self.log(format!(
+                "connection closed endpoint={uid} connection={connection} idle_us={idle_us:?} reason={reason:?}"
+            ));
         }
     }
 
-    fn fail_call(&mut self, now: Micros, call: Call, error: &EndpointCallError) {
+    fn fail_call(
+        &mut self,
+        now: Micros,
+        connection: EndpointConnectionId,
+        call: Call,
+        error: &EndpointCallError,
+    ) {
         // The endpoint may close an idle connection at any time, so such a close says little about the endpoint's
         // health and is not reported as a reset.
         let was_idle_close = call.reused_connection && error.outcome() == Outcome::Reset;
         let outcome = if was_idle_close { Outcome::InvalidResponse } else { error.outcome() };
         if let Some(endpoint) = self.endpoints.get(call.endpoint) {
-            self.log(format!("call failed endpoint={} error={:?}", endpoint.uid, error.to_string()));
+            self.log(format!(
+                "call failed endpoint={} connection={connection} reused={} messages={:?} error={:?}",
+                endpoint.uid,
+                call.reused_connection,
+                call.message_ids.join(","),
+                error.to_string()
+            ));
         }
         for attempt in call.attempts {
             self.finish_attempt(now, attempt, outcome, call.created_at, ReplyInfo::default());
--- a/crates/forwarder/src/reducer/final_answers.rs
+++ b/crates/forwarder/src/reducer/final_answers.rs
@@ -264,6 +264,15 @@
             FinalAnswer::Rejected { retry_after_ms } => SubmitAnswer::Rejected(retry_after_ms * 1000),
         };
         let Some(message) = self.drop_message(number) else { return };
+        if message.accepted.attempts > 0 {
+            self.log(format!(
+                "message given up message={} class={} answer={answer:?} attempts={} may_be_delivered={}",
+                message.accepted.id,
+                message.accepted.class,
+                message.accepted.attempts,
+                message.accepted.possible_delivery.is_some()
+            ));
+        }
         if message.stored {
             self.metrics.on_ended(&message.accepted.class, end);
         } else {
--- a/crates/forwarder/tests/endpoint_connection.rs
+++ b/crates/forwarder/tests/endpoint_connection.rs
@@ -440,3 +440,48 @@
         connection.make_idle().await;
     });
 }
+
+// Guards against a connection that stays open, or closes without the reason, after bytes that belong to no call: the
+// operators cannot see that an endpoint sends responses twice, and the next call reads the copy (issue 50).
+#[test]
+fn surplus_bytes_close_an_idle_connection_and_are_its_reported_cause() {
+    const TWICE: &[u8] =
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const TOO_LONG: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nlong";
+    const INTERIM: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let cases: [(&[u8], &[u8]); 6] =
+        [(OK, OK), (OK, b"H"), (OK, INTERIM), (OK, b"surplus"), (TWICE, b""), (TOO_LONG, b"")];
+    for (response, surplus) in cases {
+        run_test(async {
+            let mut connection = TestConnection::connect().await;
+            connection.send(TEST_TIMEOUT);
+            connection.wait_until_written().await;
+            connection.endpoint.write_all(response).expect("the write succeeds");
+            let answered = connection.next().await;
+            assert!(matches!(&answered, Input::CallAnswered { reply, .. } if reply.status == 200));
+            connection.endpoint.write_all(surplus).expect("the write succeeds");
+            let (error, received) = connection.end().await;
+            let case = (String::from_utf8_lossy(response), String::from_utf8_lossy(surplus));
+            assert_eq!((error.cause, received), (Cause::SurplusBytes, 0), "{case:?}");
+        });
+    }
+}
+
+// Guards against a response to an earlier bulk call that delivers the messages of the next call (issue 50).
+#[test]
+fn response_that_names_other_messages_leaves_its_call_in_doubt() {
+    const OTHER: &[u8] =
+        b"HTTP/1.1 200 OK\r\nContent-Length: 36\r\n\r\n[{\"id\":\"other\",\"state\":\"accepted\"}]\n";
+    for is_bulk in [false, true] {
+        run_test(async {
+            let mut connection = TestConnection::connect().await;
+            let deadline = Instant::now() + TEST_TIMEOUT;
+            connection.schedule(ScheduledCall { call: call_of(is_bulk), deadline, send_by: deadline });
+            assert!(matches!(connection.next().await, Input::CallWritten { .. }));
+            connection.endpoint.write_all(OTHER).expect("the write succeeds");
+            let (error, _) = connection.end().await;
+            assert_eq!(error.cause, Cause::MismatchedResponse, "bulk: {is_bulk}");
+            assert!(!error.not_delivered(), "bulk: {is_bulk}");
+        });
+    }
+}
--- a/crates/forwarder/tests/metrics.rs
+++ b/crates/forwarder/tests/metrics.rs
@@ -36,6 +36,7 @@
     metrics.on_ended("orders", MessageEnd::Success);
     metrics.on_ended_before_accepted("orders", MessageEnd::Overload);
     metrics.on_dispatched(3);
+    metrics.on_out_of_order_response();
     assert_eq!(metrics.open_messages(), 1);
     let gauges = Gauges { open_messages: 1, endpoints: 4, avoided_endpoints: 2 };
     assert_eq!(
@@ -43,6 +44,6 @@
         "app_success{type=\"orders\"} 1\napp_overload{type=\"orders\"} 1\napp_error{type=\"orders\"} 0\n\
          app_success{type=\"st\\\"atus\"} 0\napp_overload{type=\"st\\\"atus\"} 0\n\
          app_error{type=\"st\\\"atus\"} 0\napp_dispatches 3\napp_concurrent 1\napp_targets 4\n\
-         app_targets_disabled 2\n"
+         app_targets_disabled 2\napp_responses_out_of_order 1\n"
     );
 }
