Let a connection rest after a response, so that no copy ends the next call

Cause: HTTP/1.1 matches responses to requests by their order alone (RFC 9112, 9.2), and ConnectionPool::claim took the connection used last, at once. A copy that arrived after the look for pending bytes ended the next call, and each call after it got the response of the one before.

Change: a connection rests 500 ms after a response, and bytes that arrive meanwhile close it; the longest rested is taken first; an endpoint that has sent surplus bytes gets one call a connection for 300 s, and the others' connections rest 2 s. A call that was not written leaves no response, so its connection needs no rest.

Two tests of the reducer expected a connection to be used again at once; they wait for the rest now and check the same.

--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -61,7 +61,7 @@
     run: fn(&RunOptions) -> Result<ExperimentReport, ExperimentError>,
 }
 
-const EXPERIMENTS: [Experiment; 10] = [
+const EXPERIMENTS: [Experiment; 11] = [
     Experiment {
         name: "capacity-forwarder",
         shows: "one forwarder's cost by destinations listed and messages waiting, as lines, against the aims",
@@ -116,6 +116,12 @@
         sabotage: "the endpoints send no surplus bytes",
         run: surplus_responses::run,
     },
+    Experiment {
+        name: "connection-reuse-cost",
+        shows: "forwarders at four rates, no fault: connections made and open, and the mean time to delivery",
+        sabotage: "responses are followed by surplus bytes",
+        run: surplus_responses::run_cost,
+    },
     Experiment {
         name: "capacity-control",
         shows: "50, 150 and 450 forwarders without traffic: what control costs at rest, with changes and restarts, in losses",
--- a/crates/experiments/src/surplus_responses.rs
+++ b/crates/experiments/src/surplus_responses.rs
@@ -8,7 +8,9 @@
 use crate::error::ExperimentError;
 use crate::options::RunOptions;
 use crate::report::{Chart, ChartSeries, ExperimentReport};
-use orchidyoke_fakes::surplus_responses::{Restart, Scenario, ScenarioReport, SurplusFault, SurplusForm};
+use orchidyoke_fakes::surplus_responses::{
+    ResponseMix, Restart, Scenario, ScenarioReport, SurplusFault, SurplusForm,
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
 use std::path::Path;
@@ -27,41 +29,58 @@
 const CROWD_PAUSE: Duration = Duration::from_millis(250);
 const LOAD_TIME: Duration = Duration::from_secs(20);
 
+/// Clients of each run of [`run_cost`]; a seed chooses one.
+const COST_CLIENTS: [u64; 4] = [2, 8, 24, 48];
+
 /// Runs the experiment. Under sabotage the endpoints send no surplus bytes, and every run must report that.
 pub fn run(options: &RunOptions) -> Result<ExperimentReport, ExperimentError> {
+    let draw = |seed| {
+        let mut scenario = draw_scenario(seed);
+        scenario.fault = scenario.fault.filter(|_| !options.sabotage);
+        scenario
+    };
+    Ok(report(&run_seeds(options, &draw)?, true))
+}
+
+/// Runs forwarders without a fault, at four rates: what the reuse of connections costs. Under sabotage the responses
+/// are copied, and every run must report that.
+pub fn run_cost(options: &RunOptions) -> Result<ExperimentReport, ExperimentError> {
+    let draw = |seed| Scenario {
+        responses: ResponseMix::Delivered,
+        clients: COST_CLIENTS[(seed % COST_CLIENTS.len() as u64) as usize],
+        fault: draw_scenario(seed).fault.filter(|_| options.sabotage),
+        load_time: LOAD_TIME,
+        ..Scenario::new(seed, None)
+    };
+    Ok(report(&run_seeds(options, &draw)?, false))
+}
+
+fn run_seeds(
+    options: &RunOptions,
+    draw: &dyn Fn(u64) -> Scenario,
+) -> Result<Vec<(Scenario, ScenarioReport)>, ExperimentError> {
     let program = options.program()?;
     let seeds: Vec<_> = (options.seed..options.seed + options.seeds).collect();
     let mut results = Vec::new();
     for batch in seeds.chunks(PARALLEL_RUNS) {
-        results.extend(run_batch(&program, batch, options.sabotage)?);
+        results.extend(run_batch(&program, batch.iter().map(|seed| draw(*seed)).collect())?);
         eprintln!("surplus-responses: seed {} done", batch.last().unwrap_or(&0));
     }
-    Ok(report(&results))
+    Ok(results)
 }
 
 fn run_batch(
     program: &Path,
-    seeds: &[u64],
-    sabotage: bool,
+    scenarios: Vec<Scenario>,
 ) -> Result<Vec<(Scenario, ScenarioReport)>, ExperimentError> {
+    let run = |scenario: Scenario| {
+        let report = scenario.run(program, &format!("surplus-{}", scenario.seed));
+        (scenario, report)
+    };
     thread::scope(|scope| {
-        let run = |scenario: Scenario| {
-            let report = scenario.run(program, &format!("surplus-{}", scenario.seed));
-            (scenario, report)
-        };
-        let runs = seeds.iter().map(|seed| {
-            let mut scenario = draw_scenario(*seed);
-            if sabotage {
-                scenario.fault = None;
-            }
-            scope.spawn(move || run(scenario))
-        });
-        let runs: Vec<_> = runs.collect();
-        let join = |run: thread::ScopedJoinHandle<'_, _>| run.join();
-        runs.into_iter()
-            .map(join)
-            .collect::<Result<_, _>>()
-            .map_err(|_| ExperimentError::ThreadPanicked("a run"))
+        let runs: Vec<_> = scenarios.into_iter().map(|scenario| scope.spawn(|| run(scenario))).collect();
+        let results = runs.into_iter().map(thread::ScopedJoinHandle::join);
+        results.collect::<Result<_, _>>().map_err(|_| ExperimentError::ThreadPanicked("a run"))
     })
 }
 
@@ -98,11 +117,13 @@
     scenario
 }
 
-fn report(results: &[(Scenario, ScenarioReport)]) -> ExperimentReport {
+fn report(results: &[(Scenario, ScenarioReport)], expects_surpluses: bool) -> ExperimentReport {
     let violations = results.iter().flat_map(|(scenario, report)| {
-        let missing = (report.surpluses == 0).then(|| format!("seed {}: no surplus bytes", scenario.seed));
+        let is_unexpected = expects_surpluses != (report.surpluses > 0);
+        let surpluses = is_unexpected
+            .then(|| format!("seed {}: {} responses with surplus bytes", scenario.seed, report.surpluses));
         let violations = report.violations.iter().map(|one| format!("seed {}: {one}", scenario.seed));
-        missing.into_iter().chain(violations)
+        surpluses.into_iter().chain(violations)
     });
     let violations: Vec<_> = violations.collect();
     let points = results.iter().map(|(scenario, report)| {
--- a/crates/fakes/src/surplus_responses.rs
+++ b/crates/fakes/src/surplus_responses.rs
@@ -26,6 +26,16 @@
 /// The wait of a response with status 429, in milliseconds.
 const RETRY_AFTER_MS: u64 = 150;
 
+/// Which responses the endpoints give.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ResponseMix {
+    /// Seven in ten deliver, the others reject (503, or 429 with a wait) or fail (500).
+    #[default]
+    Mixed,
+    /// All deliver.
+    Delivered,
+}
+
 /// What is sent in addition to a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SurplusForm {
@@ -112,6 +122,7 @@
 #[derive(Debug)]
 struct State {
     random: fastrand::Rng,
+    responses: ResponseMix,
     fault: Option<SurplusFault>,
     records: EndpointRecords,
 }
@@ -119,7 +130,7 @@
 impl State {
     /// Draws a response to a request, and what is said about each of its messages.
     fn draw_response(&mut self, request: &Request) -> (http::Response, Vec<Execution>) {
-        let draw = self.random.f64();
+        let draw = if self.responses == ResponseMix::Delivered { 0.0 } else { self.random.f64() };
         let count = request.message_ids.len();
         if draw < 0.70 && request.is_bulk {
             let states: Vec<_> = (0..count).map(|_| self.draw_bulk_state()).collect();
@@ -136,6 +147,9 @@
     }
 
     fn draw_bulk_state(&mut self) -> http::BulkState {
+        if self.responses == ResponseMix::Delivered {
+            return http::BulkState::Accepted;
+        }
         match self.random.f64() {
             draw if draw < 0.80 => http::BulkState::Accepted,
             draw if draw < 0.95 => http::BulkState::Deferred,
@@ -166,9 +180,9 @@
 
 impl SurplusEndpoints {
     /// Starts without endpoints and without a fault. The seed determines the draws of responses and faults.
-    pub fn start(seed: u64) -> Self {
+    pub fn start(seed: u64, responses: ResponseMix) -> Self {
         let random = fastrand::Rng::with_seed(seed);
-        let state = State { random, fault: None, records: EndpointRecords::default() };
+        let state = State { random, responses, fault: None, records: EndpointRecords::default() };
         SurplusEndpoints { state: Arc::new(Mutex::new(state)), runtime: Arc::new(ServerRuntime::new()) }
     }
 
--- a/crates/fakes/src/surplus_responses/scenario.rs
+++ b/crates/fakes/src/surplus_responses/scenario.rs
@@ -1,7 +1,7 @@
 //! Runs one real forwarder under client load against endpoints that send surplus bytes, with restarts if asked for.
 
 use super::audit::{AcceptedMessage, Violation, audit};
-use super::{SurplusEndpoints, SurplusFault};
+use super::{ResponseMix, SurplusEndpoints, SurplusFault};
 use crate::forwarder::{ForwarderConfig, ForwarderProcess, endpoint_entry};
 use crate::{DiscoveryServer, TemporaryFolder};
 use serde_json::Value;
@@ -41,6 +41,8 @@
 pub struct Scenario {
     /// Seed of all random choices of clients and endpoints.
     pub seed: u64,
+    /// Which responses the endpoints give.
+    pub responses: ResponseMix,
     /// The fault of the endpoints; `None` for none.
     pub fault: Option<SurplusFault>,
     /// Time from the start of the load to the fault.
@@ -98,6 +100,7 @@
     pub fn new(seed: u64, fault: Option<SurplusFault>) -> Self {
         Scenario {
             seed,
+            responses: ResponseMix::Mixed,
             fault,
             fault_after: Duration::ZERO,
             load_time: Duration::from_secs(10),
@@ -109,7 +112,7 @@
 
     /// Runs the forwarder `program`. `name` must be unique within this process.
     pub fn run(&self, program: &Path, name: &str) -> ScenarioReport {
-        let endpoints = SurplusEndpoints::start(self.seed);
+        let endpoints = SurplusEndpoints::start(self.seed, self.responses);
         let discovery = DiscoveryServer::start("");
         let folder = folder_with_config(name, &endpoints, &discovery);
         let mut forwarder = ForwarderProcess::start(program, &folder, &[]);
--- a/crates/forwarder/src/connection_pool.rs
+++ b/crates/forwarder/src/connection_pool.rs
@@ -1,12 +1,24 @@
 //! The pool of connections to endpoints, as a state machine without sockets. It decides which connection carries a
 //! call, and which connections are to be closed.
 //!
-//! A connection carries one call at a time. The most recently used idle connection is reused first, so that the others
-//! reach their idle time-out and close.
+//! A connection carries one call at a time. HTTP/1.1 matches responses to requests only by their order (RFC 9112, section
+//! 9.2), so a surplus response that arrives under a call would be taken for the call's own. Therefore a connection rests
+//! after each call, the connection that has rested longest is reused first, and an endpoint that has sent surplus bytes
+//! gets one call per connection. The cause may be on the path to all endpoints, so the others' connections rest longer
+//! then.
 
 use orchidyoke_core::interface::{EndpointId, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Time for which a connection rests after a call before it may carry another one, in microseconds. Surplus bytes that
+/// arrive meanwhile close it.
+pub const REUSE_DELAY_US: Micros = 500_000;
+/// The same time while any endpoint is suspected of sending surplus bytes, in microseconds.
+pub const CAUTIOUS_REUSE_DELAY_US: Micros = 2_000_000;
+/// Time after surplus bytes for which their endpoint is suspected of sending more, in microseconds. Each connection to
+/// it carries one call only.
+pub const SUSPICION_US: Micros = 300_000_000;
+
 /// The number of a connection to an endpoint; numbers are not reused.
 pub type EndpointConnectionId = u64;
 /// The number of a call to an endpoint; numbers are not reused.
@@ -42,6 +54,15 @@
 struct PooledConnection {
     endpoint: EndpointId,
     state: ConnectionState,
+    /// When the last call on the connection was answered; `None` if none was.
+    answered_at: Option<Micros>,
+}
+
+impl PooledConnection {
+    /// Returns whether the connection has rested for `delay` since the last answer.
+    fn has_rested(&self, delay: Micros, now: Micros) -> bool {
+        self.answered_at.is_none_or(|at| now - at >= delay)
+    }
 }
 
 /// All connections to endpoints. Times are in microseconds.
@@ -53,6 +74,8 @@
     max_connections: usize,
     /// Connections that carry no further call, such as those to a former address of their endpoint.
     retired: BTreeSet<EndpointConnectionId>,
+    /// The endpoints that have sent surplus bytes, and the time until which they are suspected of sending more.
+    suspected_until: BTreeMap<EndpointId, Micros>,
     /// A lower bound of the times since when connections have been idle; `None` if none is idle.
     earliest_idle_since: Option<Micros>,
 }
@@ -76,6 +99,7 @@
             idle_timeout: safe_idle_timeout(endpoint_idle_timeout),
             max_connections,
             retired: BTreeSet::new(),
+            suspected_until: BTreeMap::new(),
             earliest_idle_since: None,
         }
     }
@@ -86,33 +110,55 @@
         self.max_connections = max_connections;
     }
 
-    /// Returns a connection for a call: an idle one if one may be reused, otherwise a new one.
+    /// Returns a connection for a call: the longest idle one that may be reused, otherwise a new one.
     pub fn claim(&mut self, endpoint: EndpointId, call: CallId, now: Micros) -> Claim {
-        match self.last_used_idle(endpoint, now) {
+        match self.longest_rested(endpoint, now) {
             Some(id) => {
-                let state = ConnectionState::Busy(call);
-                self.connections.insert(id, PooledConnection { endpoint, state });
+                if let Some(connection) = self.connections.get_mut(&id) {
+                    connection.state = ConnectionState::Busy(call);
+                }
                 Claim::Reuse(id)
             }
             None => Claim::Connect(self.connect(endpoint, call)),
         }
     }
 
-    fn last_used_idle(&self, endpoint: EndpointId, now: Micros) -> Option<EndpointConnectionId> {
+    fn longest_rested(&self, endpoint: EndpointId, now: Micros) -> Option<EndpointConnectionId> {
+        if self.is_suspected(endpoint, now) {
+            return None;
+        }
+        let reuse_delay = self.reuse_delay(now);
         let reusable = self.connections.iter().filter_map(|(id, connection)| {
-            let since = connection.state.idle_since()?;
-            let is_fresh = now - since < self.idle_timeout;
-            let is_usable = connection.endpoint == endpoint && is_fresh && !self.is_retired(*id);
-            is_usable.then_some((since, *id))
+            let is_fresh = now - connection.state.idle_since()? < self.idle_timeout;
+            let is_rested = connection.has_rested(reuse_delay, now);
+            let is_usable = connection.endpoint == endpoint && is_fresh && is_rested && !self.is_retired(*id);
+            is_usable.then_some((connection.answered_at, *id))
         });
-        reusable.max().map(|(_, id)| id)
+        reusable.min().map(|(_, id)| id)
+    }
+
+    fn reuse_delay(&self, now: Micros) -> Micros {
+        let is_any_suspected = self.suspected_until.values().any(|until| *until > now);
+        if is_any_suspected { CAUTIOUS_REUSE_DELAY_US } else { REUSE_DELAY_US }
+    }
+
+    /// Records that an endpoint has sent surplus bytes. Returns the idle connections to it; the caller closes them.
+    pub fn suspect(&mut self, endpoint: EndpointId, now: Micros) -> Vec<EndpointConnectionId> {
+        self.suspected_until.retain(|_, until| *until > now);
+        self.suspected_until.insert(endpoint, now + SUSPICION_US);
+        self.take_idle_to(endpoint)
+    }
+
+    /// Returns whether an endpoint has sent surplus bytes within [`SUSPICION_US`].
+    pub fn is_suspected(&self, endpoint: EndpointId, now: Micros) -> bool {
+        self.suspected_until.get(&endpoint).is_some_and(|until| *until > now)
     }
 
     /// Adds a new connection for a call.
     pub fn connect(&mut self, endpoint: EndpointId, call: CallId) -> EndpointConnectionId {
         self.last_id += 1;
         let state = ConnectionState::Connecting(call);
-        self.connections.insert(self.last_id, PooledConnection { endpoint, state });
+        self.connections.insert(self.last_id, PooledConnection { endpoint, state, answered_at: None });
         self.last_id
     }
 
@@ -124,10 +170,20 @@
         Some(call)
     }
 
-    /// Records that the call on a connection has ended and the connection is idle. A retired connection expires at
-    /// once.
+    /// Records that the call on a connection was answered and the connection is idle.
+    pub fn on_answered(&mut self, id: EndpointConnectionId, now: Micros) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.answered_at = Some(now);
+        }
+        self.release(id, now);
+    }
+
+    /// Records that the call for a connection has ended without being written and the connection is idle. A retired connection, and one to an
+    /// endpoint that has sent surplus bytes, expires at once.
     pub fn release(&mut self, id: EndpointConnectionId, now: Micros) {
-        let since = if self.retired.contains(&id) { now - self.idle_timeout } else { now };
+        let is_suspected = self.endpoint_of(id).is_some_and(|endpoint| self.is_suspected(endpoint, now));
+        let expires = is_suspected || self.retired.contains(&id);
+        let since = if expires { now - self.idle_timeout } else { now };
         if let Some(connection) = self.connections.get_mut(&id)
             && let ConnectionState::Busy(_) = connection.state
         {
@@ -179,9 +235,9 @@
         self.connections.get(&id).map(|connection| connection.endpoint)
     }
 
-    /// Returns since when a connection has been idle; `None` if it is not.
-    pub fn idle_since(&self, id: EndpointConnectionId) -> Option<Micros> {
-        self.connections.get(&id)?.state.idle_since()
+    /// Returns when the last call on a connection was answered; `None` if none was.
+    pub fn answered_at(&self, id: EndpointConnectionId) -> Option<Micros> {
+        self.connections.get(&id)?.answered_at
     }
 
     /// Removes the idle connections to an endpoint and returns them; the caller closes them.
--- a/crates/forwarder/src/reducer/call_results.rs
+++ b/crates/forwarder/src/reducer/call_results.rs
@@ -38,7 +38,7 @@
             // The connection is about to report why it has closed.
             self.pool.retire_connection(connection);
         }
-        self.pool.release(connection, now);
+        self.pool.on_answered(connection, now);
         let Some(call) = call.and_then(|id| self.calls.remove(id)) else { return };
         let info = ReplyInfo {
             retry_after: retry_after::to_micros(reply.retry_after_ms),
@@ -105,11 +105,16 @@
     ) {
         self.metrics.on_out_of_order_response();
         let Some(endpoint) = self.pool.endpoint_of(connection) else { return };
-        let idle_us = self.pool.idle_since(connection).map(|since| now - since);
+        let since_response_us = self.pool.answered_at(connection).map(|at| now - at);
+        let mut suspects = self.pool.suspect(endpoint, now);
+        suspects.retain(|suspect| *suspect != connection);
+        for connection in suspects {
+            self.effects.push(Effect::CloseConnection { connection });
+        }
         if let Some(endpoint) = self.endpoints.get(endpoint) {
             let (uid, reason) = (&endpoint.uid, error.cause.to_string());
             self.log(format!(
-                "connection closed endpoint={uid} connection={connection} idle_us={idle_us:?} reason={reason:?}"
+                "connection closed endpoint={uid} connection={connection} since_response_us={since_response_us:?} reason={reason:?}"
             ));
         }
     }
--- a/crates/forwarder/tests/reducer_calls.rs
+++ b/crates/forwarder/tests/reducer_calls.rs
@@ -6,6 +6,7 @@
 use common::shape::Shape;
 use common::steps::Step;
 use common::world::World;
+use orchidyoke_forwarder::connection_pool::REUSE_DELAY_US;
 use orchidyoke_forwarder::endpoint_call::{Cause, EndpointCallError, EndpointReply, Progress};
 use orchidyoke_forwarder::input::Input;
 use orchidyoke_journal::FinalAnswer;
@@ -19,6 +20,7 @@
     world.wait(10_000);
     world.step(0, Step::Connect { selector: 0, established: true });
     world.answer(0, 0);
+    world.wait(REUSE_DELAY_US);
     world.submit("b".to_owned(), true, 2, 10);
     world.wait(10_000);
     let connection_id = world
--- a/crates/forwarder/tests/reducer_discovery.rs
+++ b/crates/forwarder/tests/reducer_discovery.rs
@@ -9,6 +9,7 @@
 use orchidyoke_core::interface::Micros;
 use orchidyoke_forwarder::catalogue::Catalogue;
 use orchidyoke_forwarder::config::Config;
+use orchidyoke_forwarder::connection_pool::REUSE_DELAY_US;
 use orchidyoke_forwarder::input::{Effect, Input};
 use orchidyoke_forwarder::reducer::Reducer;
 use std::rc::Rc;
@@ -48,6 +49,7 @@
     world.step(0, Step::Connect { selector: 0, established: true });
     world.answer(0, 0);
     assert!(world.messages["a"].delivered);
+    world.wait(REUSE_DELAY_US);
     world.submit("b".to_owned(), true, 2, 10);
     world.wait(10_000);
     assert!(
