Let a connection to another forwarder rest, so that no copy accepts the next offer

What callers would see: a message that its owner rejected counts as accepted there, is forgotten here, and is lost.

PeerConnections::take_idle took the connection used last, at once, and a copied 202 was read as the answer to the next offer.

Change: a connection rests 500 ms after an answer, the longest rested is taken first. It was kept for 1 s before and is still.

Off unless destinations have owners.

--- a/crates/forwarder/src/peer_call.rs
+++ b/crates/forwarder/src/peer_call.rs
@@ -4,6 +4,7 @@
 //! The forwarder uses this if destinations have owners. The reducer decides when to make an offer, and what to do
 //! about its outcome.
 
+use crate::connection_pool::REUSE_DELAY_US;
 use crate::input::{IDEMPOTENCY_KEY, Input};
 use crate::ownership::{HANDOVER_HEADER, OfferOutcome, OutgoingOffer};
 use crate::retry_after::{retry_after_ms, to_micros};
@@ -15,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,7 +27,10 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout_at};
 
-/// Time for which an idle connection may be reused. It ends well before the other forwarder closes the connection.
+/// Time for which a connection rests after an answer. A surplus answer that arrives meanwhile closes it, and would
+/// otherwise be taken for the answer to the next offer.
+const REUSE_DELAY: Duration = Duration::from_micros(REUSE_DELAY_US as u64);
+/// Time after an answer until which a connection may be reused. It ends well before the other forwarder closes the connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Most idle connections that are kept to one forwarder.
 const MAX_IDLE_PER_PEER: usize = 16;
@@ -48,15 +52,20 @@
 }
 
 impl Connection {
-    fn is_reusable(&self) -> bool {
+    fn is_kept(&self) -> bool {
         self.last_used.elapsed() < IDLE_TIMEOUT && !self.sender.is_closed()
     }
+
+    fn is_rested(&self) -> bool {
+        self.last_used.elapsed() >= REUSE_DELAY
+    }
 }
 
 /// The idle connections to other forwarders.
 #[derive(Debug, Default)]
 pub struct PeerConnections {
-    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    /// For each forwarder, in the order in which they became idle.
+    idle: RefCell<HashMap<SocketAddr, VecDeque<Connection>>>,
 }
 
 /// The times of one offer, on this process's clock.
@@ -133,15 +142,17 @@
         }
     }
 
+    /// Returns the connection that has rested longest, if any has rested long enough.
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        connections.retain(Connection::is_reusable);
-        let last = connections.pop();
+        connections.retain(Connection::is_kept);
+        let longest_rested = connections.front().is_some_and(Connection::is_rested);
+        let taken = if longest_rested { connections.pop_front() } else { None };
         if connections.is_empty() {
             idle.remove(&address);
         }
-        last
+        taken
     }
 
     fn keep_idle(&self, address: SocketAddr, mut connection: Connection) {
@@ -149,7 +160,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_PER_PEER {
-            connections.push(connection);
+            connections.push_back(connection);
         }
     }
 
