Let a connection to Consul rest before a lock request uses it again

What callers would see: a forwarder takes a lock, or a committed transaction, for its own that Consul refused it.

Cause: LockClient sent each request on its one connection at once, and the response to a lock request is "true" or "false" without a name; a copied "true" acquired the next.

Change: a connection carries a lock request only 500 ms after its last response; until then a new one is opened.

The cost is a connection for each request that follows within 500 ms.

--- a/crates/consul/src/client.rs
+++ b/crates/consul/src/client.rs
@@ -25,13 +25,16 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_rustls::TlsConnector;
 
 /// Time-out for opening a connection, including its TLS handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time-out for a response body, from its first byte to its last.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a connection rests after a response before it may carry a write. A copy of the response that arrives
+/// meanwhile ends the connection (RFC 9112, section 9.2).
+const REUSE_DELAY: Duration = Duration::from_millis(500);
 const BODY_MAX_MIB: usize = 16;
 const BODY_MAX_BYTES: usize = BODY_MAX_MIB << 20;
 const TOKEN_HEADER: &str = "X-Consul-Token";
@@ -129,6 +132,15 @@
     driver: AbortHandle,
     address: SocketAddr,
     tls_file_versions: Option<FileVersions>,
+    /// When the last response was complete; `None` before the first.
+    answered_at: Option<Instant>,
+}
+
+impl Connection {
+    /// Returns whether no response is recent enough for a copy of it to be expected.
+    fn is_rested(&self) -> bool {
+        self.answered_at.is_none_or(|at| at.elapsed() >= REUSE_DELAY)
+    }
 }
 
 impl Drop for Connection {
@@ -186,7 +198,14 @@
         let (sender, connection) = handshake.map_err(|source| ClientError::Transport { address, source })?;
         // The request in flight returns the error of the connection.
         let driver = spawn_local(async { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, driver, address, tls_file_versions })
+        Ok(Connection { sender, driver, address, tls_file_versions, answered_at: None })
+    }
+
+    /// Returns whether a connection can carry a request whose response must not be confused with another one, such as a
+    /// write. It must be reusable ([`is_reusable`](Self::is_reusable)) and must have rested since its last response, so
+    /// that a copy of that response is not taken for the response to the request.
+    pub fn is_reusable_after_rest(&self, connection: &Connection) -> bool {
+        connection.is_rested() && self.is_reusable(connection)
     }
 
     /// Returns whether a connection can carry another request. It must be open, lead to the current address, and have
@@ -210,6 +229,7 @@
         request: &ApiRequest,
     ) -> Result<(ResponseHead, Bytes), ClientError> {
         let response = self.exchange(connection, request).await;
+        connection.answered_at = Some(Instant::now());
         let server_fault = match &response {
             Ok((head, _)) => head.error().is_some_and(|error| error.is_server_fault()),
             Err(_) => true,
--- a/crates/consul/src/locks.rs
+++ b/crates/consul/src/locks.rs
@@ -149,7 +149,8 @@
     }
 
     async fn send(&mut self, request: &ApiRequest) -> Result<(ResponseHead, Bytes), LockError> {
-        let idle = self.idle_connection.take().filter(|connection| self.client.is_reusable(connection));
+        let idle =
+            self.idle_connection.take().filter(|connection| self.client.is_reusable_after_rest(connection));
         let mut connection = match idle {
             Some(connection) => connection,
             None => self.client.connect().await.map_err(LockError::NotSent)?,
