--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -7,6 +7,7 @@
 use orchidyoke_fakes::destination::{Call, CapacityModel, Mode, OverloadBehavior};
 use orchidyoke_fakes::forwarder::{ForwarderConfig, endpoint_entry, submit_message};
 use orchidyoke_fakes::{ConsulServer, DestinationServer, DiscoveryServer, ForwarderProcess};
+use orchidyoke_forwarder::connection_pool::REUSE_DELAY_US;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -15,6 +16,8 @@
 use std::time::{Duration, Instant};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Longer than a connection to an endpoint rests after a response before it is used again.
+const REST: Duration = Duration::from_micros(REUSE_DELAY_US as u64 + 100_000);
 const PROGRAM: &str = env!("CARGO_BIN_EXE_orchidyoke");
 
 fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
@@ -537,6 +540,7 @@
     let address = site.register("w1");
     let forwarder = site.start();
     let before = site.deliver(&forwarder, "a").peer;
+    std::thread::sleep(REST);
     assert_eq!(site.deliver(&forwarder, "b").peer, before, "the connection is reused");
     for after_faults in [false, true] {
         let (old, new) = if after_faults { ("w2", "w3") } else { ("w1", "w2") };
@@ -556,7 +560,8 @@
         wait_until("Consul's answer with the change", || {
             site.consul.first_answered_at("web", index).is_some()
         });
-        std::thread::sleep(Duration::from_millis(250));
+        // The old instance's connection would be used again now.
+        std::thread::sleep(REST);
         let call = site.deliver(&forwarder, &format!("d-{new}"));
         assert!(call.peer != before && call.endpoint == address, "{call:?}");
         assert_eq!(site.calls(&format!("d-{new}")).len(), 1, "the first call is served");
