--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -17,7 +17,7 @@
 /// Time between two bursts of one message for each partner.
 const BURST_EVERY: Duration = ms_const(350);
 const ORDER_BYTES: usize = 12;
-const CYCLES: usize = 14;
+const CYCLES: usize = 16;
 const LAST_CYCLE_BY: Duration = ms_const(106_000);
 
 const fn ms_const(count: u64) -> Duration {
@@ -101,7 +101,7 @@
         if left < 30_000 {
             break;
         }
-        let body = (left as usize / 45).clamp(500, 55_000);
+        let body = (left as usize / 30).clamp(500, 55_000);
         for destination in 1..=DESTINATIONS {
             let message = Message::new("status", destination, 8.0, body);
             if client.submit(&message).is_ok_and(|status| status == 202) {
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -512,11 +512,13 @@
 pub struct Client {
     address: SocketAddr,
     connection: Option<BufReader<TcpStream>>,
+    /// When the last request was sent.
+    pub sent_at: Option<Instant>,
 }
 
 impl Client {
     pub fn new(address: SocketAddr) -> Self {
-        Client { address, connection: None }
+        Client { address, connection: None, sent_at: None }
     }
 
     /// Connects if there is no connection yet.
@@ -557,6 +559,7 @@
         .into_bytes();
         request.extend_from_slice(&message.body);
         reader.get_ref().set_read_timeout(Some(ms(400)))?;
+        self.sent_at = Some(Instant::now());
         reader.get_mut().write_all(&request)?;
         let Some((head, _)) = read_message(reader)? else { return Err(io::ErrorKind::ConnectionReset.into()) };
         if head.headers.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
