--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -148,6 +148,8 @@
     /// Version after which each change was made, with the entry as sent.
     changes: Vec<(u64, String)>,
     notices: Vec<(Instant, String, String)>,
+    /// Whether the first line of each watch is the whole list.
+    whole_first: bool,
 }
 
 /// An entry of the endpoint list.
@@ -216,6 +218,11 @@
         self.0.1.notify_all();
     }
 
+    /// From now on, the first line of each watch is the whole list.
+    pub fn begin_watches_with_the_whole_list(&self) {
+        self.0.0.lock().unwrap().whole_first = true;
+    }
+
     /// Returns the notices so far: when, the id, and the state.
     pub fn notices(&self) -> Vec<(Instant, String, String)> {
         self.0.0.lock().unwrap().notices.clone()
@@ -284,9 +291,12 @@
         writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         let mut told = since;
         let list = self.list();
-        let version = self.0.0.lock().unwrap().version;
+        let (version, whole_first) = {
+            let state = self.0.0.lock().unwrap();
+            (state.version, state.whole_first)
+        };
         let first_version = 41;
-        if since < first_version || since > version {
+        if whole_first || since < first_version || since > version {
             chunk(writer, &format!("{list}\n"))?;
             told = version;
         }
