--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -18,7 +18,7 @@
 const BURST_EVERY: Duration = ms_const(350);
 const ORDER_BYTES: usize = 12;
 const CYCLES: usize = 16;
-const LAST_CYCLE_BY: Duration = ms_const(106_000);
+const LAST_CYCLE_BY: Duration = ms_const(100_000);
 
 const fn ms_const(count: u64) -> Duration {
     Duration::from_millis(count)
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -121,7 +121,9 @@
         }
         for call in calls.all() {
             if let Some(at) = calls.answered_at(call.number) {
-                call.ids.iter().for_each(|id| drop(ends.entry(id.clone()).or_insert(at)));
+                for id in &call.ids {
+                    ends.entry(id.clone()).or_insert(at);
+                }
             }
         }
         let mut lost = Vec::new();
