--- a/crates/forwarder/src/effects.rs
+++ b/crates/forwarder/src/effects.rs
@@ -146,7 +146,7 @@
     }
 
     /// Passes an input to the reducer. Carries out the effects of this input and of the inputs that result from those
-    /// effects.
+    /// effects. Results come before inputs that wait, so that no step falls between an append and its report.
     pub(crate) fn process(&mut self, reducer: &mut Reducer, input: Input) {
         if let Input::ConnectionClosed { connection, .. } = &input {
             self.endpoint_connections.remove(connection);
@@ -159,9 +159,10 @@
         });
         inputs.push_back(input);
         while let Some(input) = inputs.pop_front() {
-            for effect in reducer.step(self.clock.now(), input) {
-                inputs.extend(self.carry_out(effect));
-            }
+            let effects = reducer.step(self.clock.now(), input);
+            let results: Vec<Input> =
+                effects.into_iter().filter_map(|effect| self.carry_out(effect)).collect();
+            results.into_iter().rev().for_each(|result| inputs.push_front(result));
         }
     }
 }
--- a/crates/forwarder/src/reducer/attempts.rs
+++ b/crates/forwarder/src/reducer/attempts.rs
@@ -10,6 +10,7 @@
 use crate::connection_pool::{CallId, Claim, EndpointConnectionId};
 use crate::endpoint_call::{self, CallMessage};
 use crate::input::Effect;
+use bytes::Bytes;
 use orchidyoke_core::interface::{EndpointId, EndpointState, MessageId, Micros, Outcome};
 use orchidyoke_journal::{AttemptStart, Record};
 
@@ -147,7 +148,7 @@
         let attempts = call.attempts.clone();
         let messages = call.message_ids.clone();
         let record = Record::AttemptStarted { messages, attempt: start.clone() };
-        self.append(&[(&record, b"")], Some(AfterAppend::SendCall(id)));
+        self.append(&[(&record, &Bytes::new())], Some(AfterAppend::SendCall(id)));
         for attempt in attempts {
             if let Some(message) = self.messages.get_mut(attempt.message) {
                 message.accepted.in_flight = Some(start.clone());
--- a/crates/forwarder/src/reducer/durability.rs
+++ b/crates/forwarder/src/reducer/durability.rs
@@ -10,9 +10,10 @@
 //! effects.
 
 use super::final_answers::SHORT_RECORD_BYTES;
+use super::journaled_messages::JournaledMessages;
 use super::message_table::DecidedMessage;
 use super::operator_overrides::OverrideRequest;
-use super::pending_appends::PendingAppends;
+use super::pending_appends::{PendingAppend, PendingAppends};
 use super::takeover::Takeover;
 use super::{Reducer, route_state};
 use crate::config::Limits;
@@ -22,7 +23,6 @@
 use bytes::{Bytes, BytesMut};
 use orchidyoke_core::interface::{MessageId, Micros, Settings};
 use orchidyoke_journal::{DiskSpace, Record};
-use std::collections::BTreeMap;
 
 /// Divisor of the folder's limit that gives the space for ids of finished messages. The ids are limited so that they
 /// leave room for messages.
@@ -77,7 +77,7 @@
 
     /// Returns whether the state changes only once the append is reported. An attempt or an offer changes the state
     /// immediately.
-    fn changes_state_later(&self) -> bool {
+    pub fn changes_state_later(&self) -> bool {
         !matches!(self, AfterAppend::SendCall(_) | AfterAppend::SendOffer(..))
     }
 }
@@ -89,22 +89,30 @@
     /// Maximum size of the folder, in bytes, for all processes together.
     limit_bytes: usize,
     last_append: AppendId,
-    after_append: BTreeMap<AppendId, AfterAppend>,
+    /// The last append that was requested before the last compaction; 0 if there was none.
+    last_compacted_append: AppendId,
     pending: PendingAppends,
+    messages: JournaledMessages,
 }
 
 impl Durability {
-    /// Creates the state for a folder with this limit and a journal file of `file_bytes` in it.
-    pub fn new(limit_bytes: usize, file_bytes: usize) -> Self {
+    /// Creates the state for a folder with this limit and a journal file of `file_bytes` with these messages in it.
+    pub fn new(limit_bytes: usize, file_bytes: usize, messages: JournaledMessages) -> Self {
         Durability {
             space: DiskSpace::new(limit_bytes, file_bytes),
             limit_bytes,
             last_append: 0,
-            after_append: BTreeMap::new(),
+            last_compacted_append: 0,
             pending: PendingAppends::default(),
+            messages,
         }
     }
 
+    /// Returns the unfinished messages as the journal's file describes them.
+    pub fn messages(&self) -> &JournaledMessages {
+        &self.messages
+    }
+
     /// Sets another limit of the folder. The limit takes effect with the next [`Durability::set_own_share`].
     pub fn set_limit_bytes(&mut self, limit_bytes: usize) {
         self.limit_bytes = limit_bytes;
@@ -133,73 +141,120 @@
         self.space.needs_compaction(live_bytes, more)
     }
 
+    /// Ends the attempts that were in flight when the previous process of this file ended. Returns the ids of their
+    /// messages.
+    pub fn end_interrupted_attempts(&mut self) -> Vec<String> {
+        self.messages.end_attempts_in_doubt()
+    }
+
     /// Notes that the file is replaced by a snapshot of `snapshot_bytes`.
     fn record_compaction(&mut self, snapshot_bytes: usize) {
         self.space.set_file_bytes(snapshot_bytes);
+        self.last_compacted_append = self.last_append;
     }
 
     /// Registers an append. Returns the effect that requests it, or the effect that reports it as refused.
-    fn append(&mut self, bytes: Bytes, next_step: Option<AfterAppend>, has_other_processes: bool) -> Effect {
+    fn append(
+        &mut self,
+        records: &[(&Record, &Bytes)],
+        bytes: Bytes,
+        next_step: Option<AfterAppend>,
+        has_other_processes: bool,
+    ) -> Effect {
         self.last_append += 1;
         let append = self.last_append;
         let may_be_denied_space = next_step.as_ref().is_some_and(AfterAppend::may_be_denied_space);
-        let denied = may_be_denied_space && has_other_processes && !self.space.has_room_for(bytes.len());
-        let changes_state_later = next_step.as_ref().is_some_and(AfterAppend::changes_state_later);
-        if let Some(next_step) = next_step {
-            self.after_append.insert(append, next_step);
-        }
-        if denied {
+        if may_be_denied_space && has_other_processes && !self.space.has_room_for(bytes.len()) {
+            self.pending.insert(append, PendingAppend::refused(next_step));
             return Effect::ReportJournalFull { append };
         }
         self.space.record_append(bytes.len());
-        if changes_state_later {
-            self.pending.insert(append, bytes.clone());
+        for (record, body) in records {
+            self.messages.apply(record, body);
         }
+        self.pending.insert(append, PendingAppend::requested(records, next_step));
         Effect::Append { append, bytes }
     }
 
-    /// Handles the report of an append, with the size of the file now. Returns the next step, if any.
-    fn on_reported(&mut self, append: AppendId, file_bytes: usize) -> Option<AfterAppend> {
+    /// Handles the report of an append, with the size of the file now.
+    fn on_reported(&mut self, append: AppendId, file_bytes: usize) -> Option<PendingAppend> {
         self.space.set_file_bytes(file_bytes);
-        self.pending.remove(append);
-        self.after_append.remove(&append)
+        self.pending.remove(append)
     }
 }
 
 impl Reducer {
     /// Requests an append. Must be called before the state changes, because a compaction that becomes necessary writes
     /// the state as it was before.
-    pub(super) fn append(&mut self, records: &[(&Record, &[u8])], next_step: Option<AfterAppend>) {
+    pub(super) fn append(&mut self, records: &[(&Record, &Bytes)], next_step: Option<AfterAppend>) {
         let mut bytes = BytesMut::new();
         records.iter().for_each(|(record, body)| record.encode(body, &mut bytes));
         self.compact_if_needed(bytes.len());
-        let effect = self.durability.append(bytes.freeze(), next_step, self.upgrade.has_other_processes());
+        let has_others = self.upgrade.has_other_processes();
+        let effect = self.durability.append(records, bytes.freeze(), next_step, has_others);
         self.effects.push(effect);
     }
 
     /// Requests an append of records without a body. Does nothing if there are no records.
     pub(super) fn append_all(&mut self, records: &[Record], next_step: Option<AfterAppend>) {
         if !records.is_empty() {
-            let records: Vec<(&Record, &[u8])> = records.iter().map(|record| (record, &b""[..])).collect();
+            let no_body = Bytes::new();
+            let records: Vec<(&Record, &Bytes)> = records.iter().map(|record| (record, &no_body)).collect();
             self.append(&records, next_step);
         }
     }
 
     /// Requests an append of one record without a body. Nothing waits for its report.
     pub(super) fn append_record(&mut self, record: &Record) {
-        self.append(&[(record, b"")], None);
+        self.append(&[(record, &Bytes::new())], None);
     }
 
     /// Handles the report of an append, which was `stored` or failed.
     pub(super) fn on_appended(&mut self, now: Micros, append: AppendId, stored: bool, file_bytes: usize) {
-        match self.durability.on_reported(append, file_bytes) {
-            Some(AfterAppend::AdmitMessages(decided)) => self.on_messages_recorded(now, decided, stored),
-            Some(AfterAppend::SendOffer(id, peer)) => self.on_offer_recorded(now, id, &peer, stored),
-            Some(AfterAppend::CompleteTakeover(takeover)) => self.on_takeover_recorded(now, takeover, stored),
-            Some(AfterAppend::CompleteHandOff) => self.on_hand_off_recorded(stored),
-            Some(AfterAppend::SendCall(call)) => self.on_attempt_recorded(now, call, stored),
-            Some(AfterAppend::ApplyOverride(request)) => self.on_override_recorded(now, request, stored),
-            None => {}
+        let Some(PendingAppend { next_step, is_requested, .. }) =
+            self.durability.on_reported(append, file_bytes)
+        else {
+            return;
+        };
+        let Some(next_step) = next_step else { return };
+        if is_requested && !stored {
+            self.revoke_append(append, &next_step);
+        }
+        match next_step {
+            AfterAppend::AdmitMessages(decided) => self.on_messages_recorded(now, decided, stored),
+            AfterAppend::SendOffer(id, peer) => self.on_offer_recorded(now, id, &peer, stored),
+            AfterAppend::CompleteTakeover(takeover) => self.on_takeover_recorded(now, takeover, stored),
+            AfterAppend::CompleteHandOff => self.on_hand_off_recorded(stored),
+            AfterAppend::SendCall(call) => self.on_attempt_recorded(now, call, stored),
+            AfterAppend::ApplyOverride(request) => self.on_override_recorded(now, request, stored),
+        }
+    }
+
+    /// Removes what an append that failed has added to the messages of the file. If the file was compacted in the
+    /// meantime, the snapshot holds the append's records, so it is written again without them.
+    fn revoke_append(&mut self, append: AppendId, next_step: &AfterAppend) {
+        match next_step {
+            AfterAppend::AdmitMessages(decided) => {
+                let messages = decided.iter().filter_map(|decided| self.messages.get(decided.number));
+                messages.for_each(|message| drop(self.durability.messages.remove(&message.accepted.id)));
+            }
+            AfterAppend::CompleteTakeover(takeover) => {
+                let taken = takeover.ids().filter(|id| self.messages.number_of(id).is_none());
+                taken.for_each(|id| drop(self.durability.messages.remove(id)));
+            }
+            AfterAppend::SendOffer(number, _) => {
+                if let Some(message) = self.messages.get(*number) {
+                    let declined = Record::HandoverDeclined { message: message.accepted.id.clone() };
+                    self.durability.messages.apply(&declined, &Bytes::new());
+                }
+            }
+            // The call is abandoned, which appends the end of its attempts.
+            AfterAppend::SendCall(_) => {}
+            // The messages do not change.
+            AfterAppend::CompleteHandOff | AfterAppend::ApplyOverride(_) => {}
+        }
+        if append <= self.durability.last_compacted_append && !self.upgrade.has_handed_off() {
+            self.compact();
         }
     }
 
@@ -209,7 +264,7 @@
             // The successor reads the file as it grows, so it must not be replaced.
             return;
         }
-        let live = self.live_bytes();
+        let live = self.snapshot_bytes();
         let fits = !self.upgrade.has_other_processes() || self.durability.can_compact(live);
         if fits && self.durability.needs_compaction(live, more) {
             self.compact();
@@ -223,9 +278,18 @@
     }
 
     /// Returns an upper estimate of the size of a snapshot, in bytes.
+    pub(super) fn snapshot_bytes(&self) -> usize {
+        self.durability.messages.bytes() + self.process_state_bytes()
+    }
+
+    /// Returns an upper estimate of the size of a snapshot once all messages that are held are recorded, in bytes.
     pub(super) fn live_bytes(&self) -> usize {
-        self.durability.pending.bytes()
-            + self.messages.live_bytes()
+        self.messages.live_bytes() + self.process_state_bytes()
+    }
+
+    /// Returns an upper estimate of the bytes in a snapshot of everything but the unfinished messages.
+    fn process_state_bytes(&self) -> usize {
+        self.durability.pending.unapplied_bytes()
             + self.final_answers.bytes()
             + self.finished.bytes()
             + self.operator_overrides.bytes()
@@ -234,7 +298,8 @@
             + SINGLE_RECORDS_BYTES
     }
 
-    /// Returns a snapshot of all state that is still needed.
+    /// Returns a snapshot of all state that is still needed. What a process recovers from it is what the process would
+    /// recover from the file with all appends requested so far.
     pub(super) fn snapshot(&self) -> Bytes {
         let mut bytes = BytesMut::new();
         Record::EndpointList(self.endpoints.list().snapshot()).encode(b"", &mut bytes);
@@ -256,13 +321,11 @@
         for answer in self.final_answers.iter() {
             answer.record().encode(b"", &mut bytes);
         }
-        for message in self.messages.values().filter(|m| m.stored) {
-            Record::Accepted(message.accepted.clone()).encode(&message.body, &mut bytes);
-            message.accepted.handover_records().iter().for_each(|record| record.encode(b"", &mut bytes));
+        for (accepted, body) in self.durability.messages.iter() {
+            Record::Accepted(accepted.clone()).encode(body, &mut bytes);
+            accepted.handover_records().iter().for_each(|record| record.encode(b"", &mut bytes));
         }
-        // Includes appends that are not yet part of the state because they have not been reported as stored. The
-        // compaction replaces the file to which they were written.
-        self.durability.pending.iter().for_each(|appended| bytes.extend_from_slice(appended));
+        self.durability.pending.unapplied().for_each(|records| bytes.extend_from_slice(records));
         bytes.freeze()
     }
 }
--- a/crates/forwarder/src/reducer/handover.rs
+++ b/crates/forwarder/src/reducer/handover.rs
@@ -7,6 +7,7 @@
 use super::handover_schedule::{HandoverDecision, HandoverTerms, MAX_IN_DOUBT_US, OFFER_TIMEOUT_US};
 use crate::input::Effect;
 use crate::ownership::{HandoverMark, OfferOutcome, OutgoingOffer, Peer};
+use bytes::Bytes;
 use orchidyoke_core::interface::{MessageId, Micros};
 use orchidyoke_journal::{AcceptedMessage, FinalAnswer, HandoverOffer, HandoverState, Record};
 
@@ -116,7 +117,7 @@
         let message_id = message.accepted.id.clone();
         let offer = HandoverOffer { owner: owner.name.clone(), offered_at: now };
         let record = Record::HandoverOffered { message: message_id, owner: owner.name.clone(), at: now };
-        self.append(&[(&record, b"")], Some(AfterAppend::SendOffer(number, owner.clone())));
+        self.append(&[(&record, &Bytes::new())], Some(AfterAppend::SendOffer(number, owner.clone())));
         if let Some(message) = self.messages.get_mut(number) {
             message.accepted.handover.offered = Some(offer);
         }
--- a/crates/forwarder/src/reducer/mod.rs
+++ b/crates/forwarder/src/reducer/mod.rs
@@ -18,6 +18,7 @@
 mod fleet_policy;
 mod handover;
 mod handover_schedule;
+mod journaled_messages;
 mod listed_endpoints;
 mod message_content;
 mod message_table;
@@ -47,7 +48,6 @@
 use endpoint_table::EndpointTable;
 use final_answers::{FinishedIds, PendingAnswers};
 use fleet_policy::FleetPolicy;
-
 use handover_schedule::HandoverSchedule;
 use message_table::MessageTable;
 use operator_overrides::OperatorOverrides;
--- a/crates/forwarder/src/reducer/operator_overrides.rs
+++ b/crates/forwarder/src/reducer/operator_overrides.rs
@@ -7,6 +7,7 @@
 use crate::console::{Command, ConsoleReply};
 use crate::input::{Effect, RequestId};
 use crate::metrics::{Gauges, Metrics};
+use bytes::Bytes;
 use orchidyoke_core::interface::{DestinationId, EndpointState, Event, ListEventKind, Micros};
 use orchidyoke_journal::Record;
 use std::collections::{BTreeMap, BTreeSet};
@@ -134,7 +135,7 @@
         let record = Record::OperatorOverride { endpoint: endpoint.clone(), at: now, ejected };
         let change = OverrideChange { at: now, ejected };
         let next_step = AfterAppend::ApplyOverride(OverrideRequest { request, endpoint, change });
-        self.append(&[(&record, b"")], Some(next_step));
+        self.append(&[(&record, &Bytes::new())], Some(next_step));
     }
 
     /// Handles the report on an override's record. Applies the override if it is `stored`, and replies to the operator.
--- a/crates/forwarder/src/reducer/recovered_state.rs
+++ b/crates/forwarder/src/reducer/recovered_state.rs
@@ -4,15 +4,14 @@
 //! process shares the folder.
 
 use super::final_answers::{DecidedAnswer, FinishedId};
+use super::journaled_messages::JournaledMessages;
 use super::message_content::ContentDigest;
 use super::operator_overrides::{OperatorOverrides, OverrideChange};
 use super::route_state::{FaultyRoutes, RouteKey};
 use bytes::Bytes;
 use orchidyoke_core::endpoint_list::EndpointList;
 use orchidyoke_core::interface::Micros;
-use orchidyoke_journal::{
-    AcceptedMessage, AttemptStart, HandoverOffer, ProcessStage, Record, RecordsWithBodies,
-};
+use orchidyoke_journal::{ProcessStage, Record, RecordsWithBodies};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -22,8 +21,8 @@
 /// The state described by the records of a journal that were read so far.
 #[derive(Debug, Default)]
 pub(super) struct RecoveredState {
-    /// Messages that are not finished, by id, with their bodies.
-    pub accepted: BTreeMap<String, (AcceptedMessage, Bytes)>,
+    /// Messages that are not finished, with their bodies.
+    pub accepted: JournaledMessages,
     /// Final answers for which the platform has not yet accepted a notification.
     pub pending_answers: Vec<DecidedAnswer>,
     /// Ids of finished messages.
@@ -54,42 +53,15 @@
 impl RecoveredState {
     /// Applies the next record of the file.
     pub fn apply(&mut self, record: Record, body: Bytes) {
+        let ended = self.accepted.apply(&record, &body);
+        let content = ended.map(|(accepted, body)| ContentDigest::of_accepted(&accepted, &body));
         match record {
-            Record::Accepted(accepted) => {
-                self.accepted.insert(accepted.id.clone(), (accepted, body));
-            }
-            Record::AttemptStarted { messages, attempt } => self.start_attempt(&messages, &attempt),
-            Record::AttemptInDoubt { message } => self.change(&message, end_in_doubt),
-            Record::AttemptNotDelivered { message } => {
-                self.change(&message, |accepted| accepted.in_flight = None);
-            }
-            Record::AttemptNotSent { message } => self.change(&message, |accepted| accepted.attempts += 1),
             Record::AnswerDecided { message, at, answer } => {
-                let content = self.remove_accepted(&message);
                 self.pending_answers.push(DecidedAnswer { id: message, answer, decided_at: at, content });
             }
             Record::Finished { message, at } | Record::HandedOver { message, at, .. } => {
-                self.finish(message, at);
-            }
-            Record::HandoverOffered { message, owner, at } => self.change(&message, |accepted| {
-                accepted.handover.offered.get_or_insert(HandoverOffer { owner, offered_at: at });
-            }),
-            Record::HandoverDeclined { message } => {
-                self.change(&message, |accepted| accepted.handover.offered = None);
-            }
-            Record::HandoverInDoubt { message } => {
-                self.change(&message, AcceptedMessage::count_offer_as_attempt);
-            }
-            Record::KeptLocal { message } => {
-                self.change(&message, |accepted| accepted.handover.kept_local = true);
+                self.finish(message, at, content);
             }
-            other => self.apply_process_record(other),
-        }
-    }
-
-    /// Applies a record that does not concern a message.
-    fn apply_process_record(&mut self, record: Record) {
-        match record {
             Record::EndpointList(event) => self.endpoint_list.apply(&event),
             Record::DiscoverySuperseded { discovery } => self.superseded_discovery = Some(discovery),
             Record::OperatorOverride { endpoint, at, ejected } => {
@@ -100,43 +72,23 @@
             }
             Record::ProcessStage { stage } => self.stage = stage,
             Record::FaultyRoutes { destinations, routes } => {
-                let whole = destinations.into_iter().map(|destination| RouteKey::new(destination, None));
-                let separate = routes.into_iter();
-                let separate = separate.map(|(destination, uid)| RouteKey::new(destination, Some(uid)));
-                self.faulty_routes = whole.chain(separate).collect();
+                self.faulty_routes = route_keys(destinations, routes).collect();
             }
-            _ => debug_assert!(false, "records of messages are handled by the caller"),
+            Record::Accepted(_)
+            | Record::AttemptStarted { .. }
+            | Record::AttemptInDoubt { .. }
+            | Record::AttemptNotDelivered { .. }
+            | Record::AttemptNotSent { .. }
+            | Record::HandoverOffered { .. }
+            | Record::HandoverDeclined { .. }
+            | Record::HandoverInDoubt { .. }
+            | Record::KeptLocal { .. } => {}
         }
     }
 
-    /// Changes a message if it is not finished.
-    fn change(&mut self, id: &str, change: impl FnOnce(&mut AcceptedMessage)) {
-        if let Some((accepted, _)) = self.accepted.get_mut(id) {
-            change(accepted);
-        }
-    }
-
-    fn start_attempt(&mut self, messages: &[String], start: &AttemptStart) {
-        for id in messages {
-            self.change(id, |accepted| {
-                // An attempt that is still in flight was in flight when its process ended, and may have delivered the
-                // message.
-                end_in_doubt(accepted);
-                accepted.attempts += 1;
-                accepted.in_flight = Some(start.clone());
-            });
-        }
-    }
-
-    /// Removes a message that has its final answer. Returns what it was to deliver, if the file still has it.
-    fn remove_accepted(&mut self, id: &str) -> Option<ContentDigest> {
-        let (accepted, body) = self.accepted.remove(id)?;
-        Some(ContentDigest::of_accepted(&accepted, &body))
-    }
-
-    /// Marks a message as finished, so that it needs no notification.
-    fn finish(&mut self, id: String, at: Micros) {
-        let mut content = self.remove_accepted(&id);
+    /// Marks a message as finished, so that it needs no notification. `content` is what it delivered, if the file still
+    /// had the message.
+    fn finish(&mut self, id: String, at: Micros, mut content: Option<ContentDigest>) {
         self.pending_answers.retain(|other| {
             content = content.or(other.content.filter(|_| other.id == id));
             other.id != id
@@ -148,9 +100,9 @@
     }
 }
 
-/// Ends the attempt in flight, if any, as possibly delivered. If an earlier attempt may have delivered the message,
-/// that one is kept.
-fn end_in_doubt(accepted: &mut AcceptedMessage) {
-    let in_flight = accepted.in_flight.take();
-    accepted.possible_delivery = accepted.possible_delivery.take().or(in_flight);
+/// Returns the routes that a record of faulty routes names.
+fn route_keys(destinations: Vec<u64>, routes: Vec<(u64, String)>) -> impl Iterator<Item = RouteKey> {
+    let whole = destinations.into_iter().map(|destination| RouteKey::new(destination, None));
+    let separate = routes.into_iter();
+    whole.chain(separate.map(|(destination, uid)| RouteKey::new(destination, Some(uid))))
 }
--- a/crates/forwarder/src/reducer/start.rs
+++ b/crates/forwarder/src/reducer/start.rs
@@ -18,7 +18,6 @@
 use crate::config::Config;
 use crate::connection_pool::ConnectionPool;
 use crate::metrics::Metrics;
-use bytes::Bytes;
 use orchidyoke_core::endpoint_list::{EndpointList, WatchEvent};
 use orchidyoke_core::interface::{ListEventKind, Micros, Settings};
 use orchidyoke_journal::{Generation, ProcessStage, Record, RecordsWithBodies};
@@ -48,9 +47,9 @@
         for (route, until) in recovered.retry_after {
             reducer.adopt_retry_after(now, route, until);
         }
-        for (accepted, body) in recovered.accepted.into_values() {
-            // Copied, because a slice of the file's buffer would keep the whole buffer in memory.
-            reducer.restore(accepted, Bytes::copy_from_slice(&body), now);
+        let messages: Vec<_> = reducer.durability.messages().iter().cloned().collect();
+        for (accepted, body) in messages {
+            reducer.restore(accepted, body, now);
         }
         // Appends must not come earlier, because an append may cause a compaction, which writes the reducer's complete
         // state.
@@ -70,6 +69,7 @@
         let ownership = Ownership::new(config.owners, now);
         let fleet_size = ownership.owners_per_destination().unwrap_or(settings.fleet_size);
         let answers = std::mem::take(&mut recovered.pending_answers);
+        let messages = std::mem::take(&mut recovered.accepted).with_copied_bodies();
         Reducer {
             controller: ControllerDriver::new(Settings { fleet_size, ..settings.clone() }, seed, now),
             discovery: EndpointDiscovery::new(
@@ -86,7 +86,7 @@
             messages: MessageTable::default(),
             calls: CallTable::default(),
             pool: ConnectionPool::new(settings.idle_timeout, bounds.connections),
-            durability: Durability::new(bounds.disk_bytes, journal_size),
+            durability: Durability::new(bounds.disk_bytes, journal_size, messages),
             finished: FinishedIds::new(bounds.finished_ids),
             final_answers: PendingAnswers::new(answers, now),
             ownership,
@@ -123,11 +123,15 @@
 
     /// Records that this process has started, and records the list if the journal does not hold it.
     fn record_start(&mut self, is_list_recorded: bool) {
+        let interrupted = self.durability.end_interrupted_attempts();
         if is_list_recorded {
             // The list is not written again. A file that would have no room for it is compacted nevertheless, because
             // no client waits for a compaction at the start.
             self.compact_if_needed(self.endpoints.list().size());
         }
+        // Without these records, a successor would leave the messages to this process, which hands them off.
+        let ended = interrupted.into_iter().map(|message| Record::AttemptInDoubt { message });
+        self.append_all(&ended.collect::<Vec<_>>(), None);
         self.append_record(&Record::ProcessStage { stage: ProcessStage::Started });
         if !is_list_recorded {
             let list = Record::EndpointList(self.endpoints.list().snapshot());
--- a/crates/forwarder/src/reducer/submission.rs
+++ b/crates/forwarder/src/reducer/submission.rs
@@ -258,8 +258,7 @@
             let handover = message.accepted.handover_records();
             records.extend(handover.into_iter().map(|record| (record, Bytes::new())));
         }
-        let records: Vec<(&Record, &[u8])> =
-            records.iter().map(|(record, body)| (record, &body[..])).collect();
+        let records: Vec<(&Record, &Bytes)> = records.iter().map(|(record, body)| (record, body)).collect();
         self.append(&records, Some(AfterAppend::AdmitMessages(decided)));
     }
 
--- a/crates/forwarder/src/reducer/takeover.rs
+++ b/crates/forwarder/src/reducer/takeover.rs
@@ -6,6 +6,7 @@
 use super::Reducer;
 use super::durability::AfterAppend;
 use super::final_answers::{DecidedAnswer, FinishedId};
+use super::journaled_messages::end_in_doubt;
 use super::message_content::ContentDigest;
 use crate::input::Effect;
 use crate::metrics::MessageEnd;
@@ -25,6 +26,11 @@
 }
 
 impl Takeover {
+    /// Returns the ids of the messages.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.messages.iter().map(|(accepted, _)| accepted.id.as_str())
+    }
+
     /// Returns the records of the takeover, in the order in which a journal holds them.
     fn records(&self) -> RecordsWithBodies {
         let mut records = RecordsWithBodies::new();
@@ -51,8 +57,7 @@
             return;
         }
         let records = takeover.records();
-        let records: Vec<(&Record, &[u8])> =
-            records.iter().map(|(record, body)| (record, &body[..])).collect();
+        let records: Vec<(&Record, &Bytes)> = records.iter().map(|(record, body)| (record, body)).collect();
         self.append(&records, Some(AfterAppend::CompleteTakeover(takeover)));
     }
 
@@ -66,7 +71,7 @@
                 || self.final_answers.contains(id)
                 || self.upgrade.later_process_knows(generation, id)
         };
-        let messages = state.accepted.values();
+        let messages = state.accepted.iter();
         let messages = messages.filter(|(accepted, _)| is_complete || accepted.in_flight.is_none());
         let messages = messages.filter(|(accepted, _)| !is_known(&accepted.id));
         let mut takeover = Takeover {
@@ -112,9 +117,8 @@
         for (accepted, body) in takeover.messages {
             self.upgrade.release_message(generation, &accepted.id);
             match self.messages.number_of(&accepted.id) {
-                Some(number) => self.merge_message(now, number, accepted),
-                // Copied, because a slice of the file's buffer would keep the whole buffer in memory.
-                None => self.restore(accepted, Bytes::copy_from_slice(&body), now),
+                Some(number) => self.merge_message(now, number, &accepted),
+                None => self.restore(accepted, body, now),
             }
         }
         if count > 0 {
@@ -153,28 +157,36 @@
     /// process may hold the message itself, because an earlier process with this file had taken it over, or because a
     /// client submitted it to both processes.
     fn merged_with_own(&self, theirs: &AcceptedMessage, body: &Bytes) -> Option<(AcceptedMessage, Bytes)> {
-        let own = self.messages.number_of(&theirs.id).and_then(|number| self.messages.get(number));
-        let Some(own) = own else { return Some((theirs.clone(), body.clone())) };
-        let mut both = own.accepted.clone();
-        both.attempts = both.attempts.max(theirs.attempts);
-        both.possible_delivery = both
-            .possible_delivery
-            .or_else(|| theirs.possible_delivery.clone())
-            .or_else(|| theirs.in_flight.clone());
-        both.handover.offered = both.handover.offered.or_else(|| theirs.handover.offered.clone());
-        both.handover.kept_local |= theirs.handover.kept_local;
-        (both != own.accepted || !own.stored).then(|| (both, own.body.clone()))
+        let mut theirs = theirs.clone();
+        // An attempt that was in flight when the process ended may have delivered the message.
+        end_in_doubt(&mut theirs);
+        let Some((own, own_body)) = self.durability.messages().get(&theirs.id) else {
+            // Copied, because a slice of the file's buffer would keep the whole buffer in memory.
+            return Some((theirs, Bytes::copy_from_slice(body)));
+        };
+        let mut both = own.clone();
+        add_history(&mut both, &theirs);
+        (both != *own).then(|| (both, own_body.clone()))
     }
 
     /// Adds the history of a message in another process to the message here.
-    fn merge_message(&mut self, now: Micros, number: MessageId, merged: AcceptedMessage) {
+    fn merge_message(&mut self, now: Micros, number: MessageId, merged: &AcceptedMessage) {
         let Some(message) = self.messages.get_mut(number) else { return };
         if !std::mem::replace(&mut message.stored, true) {
             self.metrics.on_accepted(1);
         }
-        message.accepted = merged;
+        // Only added, because the message here may have changed since the record was requested.
+        add_history(&mut message.accepted, merged);
         if message.in_controller {
             self.report_history(now, number);
         }
     }
 }
+
+/// Adds the ended attempts and the handover of `other` to a message.
+fn add_history(message: &mut AcceptedMessage, other: &AcceptedMessage) {
+    message.attempts = message.attempts.max(other.attempts);
+    message.possible_delivery = message.possible_delivery.take().or_else(|| other.possible_delivery.clone());
+    message.handover.offered = message.handover.offered.take().or_else(|| other.handover.offered.clone());
+    message.handover.kept_local |= other.handover.kept_local;
+}
--- a/crates/forwarder/src/reducer/upgrade.rs
+++ b/crates/forwarder/src/reducer/upgrade.rs
@@ -11,7 +11,6 @@
 use super::durability::AfterAppend;
 use super::final_answers::id_size;
 use super::message_content::{ContentDigest, KnownContent};
-use super::message_table::message_size;
 use super::operator_overrides::OverrideChange;
 use super::recovered_state::RecoveredState;
 use super::route_state::RouteKey;
@@ -58,7 +57,7 @@
 
     /// Returns whether the process holds or held the message.
     pub fn knows(&self, id: &str) -> bool {
-        self.state.accepted.contains_key(id)
+        self.state.accepted.contains(id)
             || self.state.pending_answers.iter().any(|other| other.id == id)
             || self.state.finished.iter().any(|other| other.id == id)
     }
@@ -68,18 +67,15 @@
         if self.begins_no_attempts() {
             return 0;
         }
-        let messages =
-            self.state.accepted.values().map(|(accepted, body)| {
-                message_size(&accepted.id, accepted.idempotency_key.as_deref(), body)
-            });
+        let messages = self.state.accepted.bytes();
         let answers = self.state.pending_answers.iter().map(|answer| id_size(&answer.id));
         let finished = self.state.finished.iter().map(|finished| id_size(&finished.id));
-        messages.chain(answers).chain(finished).sum::<usize>() + self.state.endpoint_list.size()
+        messages + answers.chain(finished).sum::<usize>() + self.state.endpoint_list.size()
     }
 
     /// Returns the number of the process's calls in flight.
     fn calls_in_flight(&self) -> usize {
-        let attempts = self.state.accepted.values().filter_map(|(accepted, _)| accepted.in_flight.as_ref());
+        let attempts = self.state.accepted.iter().filter_map(|(accepted, _)| accepted.in_flight.as_ref());
         let calls: BTreeSet<_> = attempts.map(|attempt| (attempt.started_at, &attempt.endpoint)).collect();
         calls.len()
     }
--- a/crates/forwarder/tests/common/mod.rs
+++ b/crates/forwarder/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod deployments;
 pub mod processes;
+pub mod recovered;
 pub mod shape;
 pub mod steps;
 pub mod world;
--- a/crates/forwarder/tests/common/processes.rs
+++ b/crates/forwarder/tests/common/processes.rs
@@ -1,5 +1,6 @@
 //! Simulates several processes on one folder, in memory, with a kill between any two effects.
 
+use super::recovered::Recovered;
 use super::world::SimulatedConnection;
 use super::{MAX_FOLDER_BYTES, SECOND, START, ids};
 use bytes::Bytes;
@@ -116,6 +117,8 @@
     pub terminated: bool,
     /// Number of effects until the process is killed; `None` if no kill is due.
     pub kill_after: Option<usize>,
+    /// Whether the process has processed its first input.
+    pub started_up: bool,
 }
 
 /// A message as its client and the endpoints see it.
@@ -185,6 +188,7 @@
             handed_over: false,
             terminated: false,
             kill_after: None,
+            started_up: false,
         });
         let process_index = self.processes.len() - 1;
         self.poll_other_journals(process_index);
@@ -209,7 +213,8 @@
                 inputs.extend(self.carry_out(process_index, effect));
             }
         }
-        let process = &self.processes[process_index];
+        let process = &mut self.processes[process_index];
+        process.started_up = true;
         assert_eq!(process.reducer.metrics().open_messages(), process.reducer.gauges().open_messages as u64);
     }
 
@@ -248,6 +253,8 @@
                 );
                 self.inodes += 1;
                 let file = self.files.get_mut(&generation).expect("the process has a journal");
+                let at_start = !self.processes[process_index].started_up;
+                Recovered::assert_snapshot_equals(&bytes, &file.bytes, at_start);
                 (file.bytes, file.inode) = (bytes.to_vec(), self.inodes);
             }
             Effect::RemoveJournal { generation } => {
--- a/crates/forwarder/tests/common/world.rs
+++ b/crates/forwarder/tests/common/world.rs
@@ -1,6 +1,7 @@
 //! One process on a folder of its own, in memory. The effects of the reducer are checked as the endpoints, the
 //! journal's folder and the platform would see them. The clock, the network and kills are simulated.
 
+use super::recovered::Recovered;
 use super::shape::Shape;
 use super::{MAX_FOLDER_BYTES, SECOND, START, ids};
 use bytes::Bytes;
@@ -98,6 +99,8 @@
     pub exited: bool,
     /// Whether the journal was compacted since it was last checked.
     pub compacted: bool,
+    /// Whether the process has processed its first input.
+    pub started_up: bool,
 }
 
 pub fn reducer(shape: Shape, file: &[u8], now: Micros) -> Reducer {
@@ -170,6 +173,7 @@
             stopped_accepting: false,
             exited: false,
             compacted: false,
+            started_up: false,
         };
         world.input(Input::TimerDue);
         world
@@ -182,6 +186,7 @@
                 inputs.extend(self.carry_out(effect));
             }
         }
+        self.started_up = true;
         if std::mem::take(&mut self.compacted) {
             self.check_journal();
         }
@@ -251,6 +256,7 @@
                     self.file.len() + bytes.len() <= MAX_FOLDER_BYTES,
                     "the old and the new file together must not exceed the limit"
                 );
+                Recovered::assert_snapshot_equals(&bytes, &self.file, !self.started_up);
                 self.file = bytes.to_vec();
                 self.compacted = true;
             }
@@ -565,6 +571,7 @@
             self.watches.clear();
         }
         self.reducer = reducer(self.shape, &self.file, self.now);
+        self.started_up = false;
         self.input(Input::TimerDue);
     }
 
