Divide the folder between two processes, and write an unchanged list once

Cause: the successor wrote the whole list at its start and again from its first watch, as records that cannot be refused. Each process had half of the limit; the predecessor's file was larger, so it could not compact in the room that it had reserved while alone.

Change: a whole list is recorded as the difference that it makes, and an unchanged one not at all. A process that starts beside another one leaves the list to the other's file until it begins attempts with another list or removes that file. Parts of the limit add up to the whole, with each compaction's second file: a quarter for a waiting successor, three quarters for the process that begins attempts, half each from the hand-off on. A process over its part compacts when the other comes. After the hand-off a process, which compacts no more, admits by the room that is left.

Evidence: upgrade_with_a_long_list_stays_within_the_folders_limit asserts the sum at each append and compaction, at 3 MB, 3,200 endpoints, bodies of 3 KB and 64 KiB, over kills of either process. On the code before it fails with files of 2,152,780 and 996,064 bytes.

--- a/crates/forwarder/src/reducer/durability.rs
+++ b/crates/forwarder/src/reducer/durability.rs
@@ -11,6 +11,7 @@
 
 use super::final_answers::SHORT_RECORD_BYTES;
 use super::journaled_messages::JournaledMessages;
+use super::list_record::ListRecord;
 use super::message_table::DecidedMessage;
 use super::operator_overrides::OverrideRequest;
 use super::pending_appends::{PendingAppend, PendingAppends};
@@ -48,6 +49,23 @@
     }
 }
 
+/// A part of the folder's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct FolderPart {
+    quarters: usize,
+}
+
+impl FolderPart {
+    pub const QUARTER: FolderPart = FolderPart { quarters: 1 };
+    pub const HALF: FolderPart = FolderPart { quarters: 2 };
+    pub const THREE_QUARTERS: FolderPart = FolderPart { quarters: 3 };
+    pub const WHOLE: FolderPart = FolderPart { quarters: 4 };
+
+    fn of(self, limit_bytes: usize) -> usize {
+        limit_bytes / 4 * self.quarters
+    }
+}
+
 /// The next step after an append is reported, whether or not it was stored.
 #[derive(Debug)]
 pub(super) enum AfterAppend {
@@ -120,10 +138,14 @@
 
     /// Sets the part of the folder's limit that this process may use. The limit applies to the files of all processes
     /// together; the others use, or may need, `other_bytes`.
-    pub fn set_own_share(&mut self, other_bytes: usize, other_process_runs: bool) {
-        let own = self.limit_bytes.saturating_sub(other_bytes);
-        // While another process runs, each may use at most half, so that both can compact.
-        self.space.set_limit(if other_process_runs { own.min(self.limit_bytes / 2) } else { own });
+    pub fn set_own_share(&mut self, other_bytes: usize, part: FolderPart) {
+        let left = self.limit_bytes.saturating_sub(other_bytes);
+        self.space.set_limits(left.min(part.of(self.limit_bytes)), left);
+    }
+
+    /// Returns whether there is room for an append of `bytes` without a later compaction.
+    pub fn has_room_for(&self, bytes: usize) -> bool {
+        self.space.has_room_for(bytes)
     }
 
     /// Returns whether a message of `message_bytes` may be accepted in addition to a snapshot of `live_bytes`.
@@ -136,6 +158,11 @@
         self.space.can_compact(live_bytes)
     }
 
+    /// Returns whether the file may be compacted beside other processes: there is room for it, and it frees some.
+    fn is_compaction_allowed(&self, live_bytes: usize) -> bool {
+        self.can_compact(live_bytes) && self.space.is_compaction_worthwhile(live_bytes)
+    }
+
     /// Returns whether the file has to be compacted before `more` bytes are appended.
     fn needs_compaction(&self, live_bytes: usize, more: usize) -> bool {
         self.space.needs_compaction(live_bytes, more)
@@ -265,7 +292,7 @@
             return;
         }
         let live = self.snapshot_bytes();
-        let fits = !self.upgrade.has_other_processes() || self.durability.can_compact(live);
+        let fits = !self.upgrade.has_other_processes() || self.durability.is_compaction_allowed(live);
         if fits && self.durability.needs_compaction(live, more) {
             self.compact();
         }
@@ -293,16 +320,22 @@
             + self.final_answers.bytes()
             + self.finished.bytes()
             + self.operator_overrides.bytes()
-            + self.endpoints.list().size()
+            + self.recorded_list_bytes()
             + self.route_records_bytes()
             + SINGLE_RECORDS_BYTES
     }
 
+    fn recorded_list_bytes(&self) -> usize {
+        if self.list_record == ListRecord::Recorded { self.endpoints.list().size() } else { 0 }
+    }
+
     /// Returns a snapshot of all state that is still needed. What a process recovers from it is what the process would
     /// recover from the file with all appends requested so far.
     pub(super) fn snapshot(&self) -> Bytes {
         let mut bytes = BytesMut::new();
-        Record::EndpointList(self.endpoints.list().snapshot()).encode(b"", &mut bytes);
+        if self.list_record == ListRecord::Recorded {
+            Record::EndpointList(self.endpoints.list().snapshot()).encode(b"", &mut bytes);
+        }
         Record::ProcessStage { stage: self.upgrade.stage() }.encode(b"", &mut bytes);
         route_state::faulty_routes_record(&self.faulty_routes).encode(b"", &mut bytes);
         for (route, until) in self.retry_after.iter().filter(|_| self.upgrade.other_process_runs()) {
--- a/crates/forwarder/src/reducer/endpoint_discovery.rs
+++ b/crates/forwarder/src/reducer/endpoint_discovery.rs
@@ -12,7 +12,6 @@
 use crate::retry_after;
 use orchidyoke_core::endpoint_list::{EndpointList, MAX_ENTRIES, WatchEvent};
 use orchidyoke_core::interface::{ListEventKind, Micros, Settings};
-use orchidyoke_journal::Record;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -282,10 +281,6 @@
             event = self.endpoints.list().without_activations(event);
         }
         let kind = if event.is_snapshot { ListEventKind::Snapshot } else { ListEventKind::Delta };
-        let record = Record::EndpointList(event);
-        self.append_record(&record);
-        if let Record::EndpointList(event) = &record {
-            self.apply_list(now, event, kind);
-        }
+        self.change_list(now, event, kind);
     }
 }
--- a/crates/forwarder/src/reducer/mod.rs
+++ b/crates/forwarder/src/reducer/mod.rs
@@ -19,6 +19,7 @@
 mod handover;
 mod handover_schedule;
 mod journaled_messages;
+mod list_record;
 mod listed_endpoints;
 mod message_content;
 mod message_table;
@@ -49,6 +50,7 @@
 use final_answers::{FinishedIds, PendingAnswers};
 use fleet_policy::FleetPolicy;
 use handover_schedule::HandoverSchedule;
+use list_record::ListRecord;
 use message_table::MessageTable;
 use operator_overrides::OperatorOverrides;
 use orchidyoke_core::interface::{Action, Micros, Settings};
@@ -76,6 +78,7 @@
     controller: ControllerDriver,
     discovery: EndpointDiscovery,
     endpoints: EndpointTable,
+    list_record: ListRecord,
     retry_after: RetryAfterTable,
     /// Faulty routes as last recorded in the journal.
     faulty_routes: FaultyRoutes,
--- a/crates/forwarder/src/reducer/start.rs
+++ b/crates/forwarder/src/reducer/start.rs
@@ -10,6 +10,7 @@
 use super::final_answers::{FinishedIds, PendingAnswers};
 use super::fleet_policy::FleetPolicy;
 use super::handover_schedule::HandoverSchedule;
+use super::list_record::ListRecord;
 use super::message_table::MessageTable;
 use super::ownership::Ownership;
 use super::recovered_state::{RecoveredState, replay};
@@ -53,6 +54,10 @@
         }
         // Appends must not come earlier, because an append may cause a compaction, which writes the reducer's complete
         // state.
+        let is_first = generation == 0;
+        if !is_list_recorded && !is_first {
+            reducer.list_record = ListRecord::DEFERRED;
+        }
         reducer.record_start(is_list_recorded);
         reducer
     }
@@ -81,6 +86,7 @@
                 now,
             ),
             endpoints: EndpointTable::default(),
+            list_record: ListRecord::Recorded,
             retry_after: RetryAfterTable::default(),
             faulty_routes: std::mem::take(&mut recovered.faulty_routes),
             messages: MessageTable::default(),
@@ -121,7 +127,8 @@
         *self.endpoints.list() == recovered
     }
 
-    /// Records that this process has started, and records the list if the journal does not hold it.
+    /// Records that this process has started, and records the list if the journal does not hold it and the file is the
+    /// only one.
     fn record_start(&mut self, is_list_recorded: bool) {
         let interrupted = self.durability.end_interrupted_attempts();
         if is_list_recorded {
@@ -133,7 +140,7 @@
         let ended = interrupted.into_iter().map(|message| Record::AttemptInDoubt { message });
         self.append_all(&ended.collect::<Vec<_>>(), None);
         self.append_record(&Record::ProcessStage { stage: ProcessStage::Started });
-        if !is_list_recorded {
+        if !is_list_recorded && self.list_record == ListRecord::Recorded {
             let list = Record::EndpointList(self.endpoints.list().snapshot());
             self.append_record(&list);
         }
--- a/crates/forwarder/src/reducer/submission.rs
+++ b/crates/forwarder/src/reducer/submission.rs
@@ -137,6 +137,10 @@
         }
         let key = submission.idempotency_key.as_deref();
         let bytes = message_size(&submission.id, key, &submission.body) + reserve_bytes;
+        if self.upgrade.has_handed_off() {
+            // The file is not compacted any more.
+            return self.durability.has_room_for(bytes);
+        }
         self.durability.admits(self.live_bytes(), bytes)
     }
 
--- a/crates/forwarder/src/reducer/takeover.rs
+++ b/crates/forwarder/src/reducer/takeover.rs
@@ -126,7 +126,7 @@
                 "upgrade: took over another process's messages messages={count} generation={generation}"
             ));
         }
-        if takeover.is_complete {
+        if takeover.is_complete && self.record_list_of(generation) {
             self.upgrade.remove(generation);
             self.effects.push(Effect::RemoveJournal { generation });
             self.update_own_share();
--- a/crates/forwarder/src/reducer/upgrade.rs
+++ b/crates/forwarder/src/reducer/upgrade.rs
@@ -8,13 +8,14 @@
 //! attempt for a message.
 
 use super::Reducer;
-use super::durability::AfterAppend;
+use super::durability::{AfterAppend, FolderPart};
 use super::final_answers::id_size;
 use super::message_content::{ContentDigest, KnownContent};
 use super::operator_overrides::OverrideChange;
 use super::recovered_state::RecoveredState;
 use super::route_state::RouteKey;
 use crate::input::{Effect, OtherProcessUpdate};
+use orchidyoke_core::endpoint_list::EndpointList;
 use orchidyoke_core::interface::{Event, ListEventKind, MessageId, Micros, Settings};
 use orchidyoke_journal::{Generation, ProcessStage, Record, RecordsWithBodies};
 use std::collections::{BTreeMap, BTreeSet};
@@ -92,6 +93,7 @@
                 Record::RetryAfter { destination, endpoint, until } => {
                     changes.retry_after.push((RouteKey::new(*destination, endpoint.clone()), *until));
                 }
+                Record::EndpointList(_) => changes.is_list_changed = true,
                 _ => {}
             }
             self.state.apply(record, body);
@@ -105,6 +107,7 @@
 struct SharedChanges {
     overrides: Vec<(String, OverrideChange)>,
     retry_after: Vec<(RouteKey, Micros)>,
+    is_list_changed: bool,
 }
 
 /// The stage of this process, and the other processes on the folder.
@@ -211,6 +214,29 @@
         self.others.values().map(|other| other.file_bytes + other.live_bytes()).sum()
     }
 
+    /// Returns whether the file of another process has this list, other than the process `except`.
+    pub fn other_with_list(&self, list: &EndpointList, except: Option<Generation>) -> bool {
+        let others = self.others.iter().filter(|(generation, _)| Some(**generation) != except);
+        others.map(|(_, other)| &other.state.endpoint_list).any(|other| {
+            // Compared first, because it tells most lists apart.
+            other.version() == list.version() && other == list
+        })
+    }
+
+    /// Returns the part of the folder's limit that this process may use while another one runs. The parts of two
+    /// processes add up to the whole. A process that waits for an older one to hand off needs little.
+    fn own_part(&self) -> FolderPart {
+        if self.has_handed_off() {
+            FolderPart::HALF
+        } else if self.older_process_begins_attempts() {
+            FolderPart::QUARTER
+        } else if self.older().any(|older| !older.ended) {
+            FolderPart::HALF
+        } else {
+            FolderPart::THREE_QUARTERS
+        }
+    }
+
     /// Returns the number of calls in flight of older processes that have not ended.
     fn older_calls_in_flight(&self) -> usize {
         self.older().filter(|older| !older.ended).map(OtherProcess::calls_in_flight).sum()
@@ -228,6 +254,9 @@
     ) {
         let older_began_attempts = self.upgrade.older_process_begins_attempts();
         self.upgrade.others.retain(|generation, _| !removed.contains(generation));
+        if !removed.is_empty() {
+            self.on_lists_changed();
+        }
         for update in updates {
             self.apply_process_update(now, update);
         }
@@ -235,9 +264,14 @@
             self.hand_off(now);
         }
         self.update_own_share();
+        if self.upgrade.other_process_runs() {
+            // A process that has more than its part makes room for the other one.
+            self.compact_if_needed(0);
+        }
         if older_began_attempts && !self.upgrade.older_process_begins_attempts() {
             self.begin_attempts();
         }
+        self.record_deferred_list();
         for generation in self.upgrade.generations() {
             self.take_over(generation);
         }
@@ -257,6 +291,9 @@
         other.file_bytes = size;
         other.ended = ended;
         let changes = other.apply(records);
+        if rewritten || changes.is_list_changed {
+            self.on_lists_changed();
+        }
         self.adopt_overrides(now, changes.overrides);
         for (route, until) in changes.retry_after {
             self.adopt_retry_after(now, route, until);
@@ -287,11 +324,8 @@
         let theirs = &other.state.endpoint_list;
         if theirs.origin() == own.origin() && theirs.version() > own.version() {
             // Only the difference is written, because the other process may have received a single change.
-            let record = Record::EndpointList(own.delta_to(theirs));
-            self.append_record(&record);
-            if let Record::EndpointList(changes) = &record {
-                self.apply_list(now, changes, ListEventKind::Delta);
-            }
+            let changes = own.delta_to(theirs);
+            self.change_list(now, changes, ListEventKind::Delta);
         }
     }
 
@@ -314,7 +348,9 @@
 
     /// Updates this process's part of the folder's limit, which applies to all files together.
     pub(super) fn update_own_share(&mut self) {
-        self.durability.set_own_share(self.upgrade.bytes_of_others(), self.upgrade.other_process_runs());
+        let part =
+            if self.upgrade.other_process_runs() { self.upgrade.own_part() } else { FolderPart::WHOLE };
+        self.durability.set_own_share(self.upgrade.bytes_of_others(), part);
     }
 
     /// Records that this process accepts clients. From now on, the older process may be asked to end.
@@ -322,6 +358,7 @@
         self.append_record(&Record::ProcessStage { stage: ProcessStage::Ready });
         self.clients.set_accepted(true);
         self.upgrade.set_ready();
+        self.record_deferred_list();
     }
 
     /// Hands off what is not in flight to a successor that accepts clients.
@@ -330,7 +367,7 @@
             return;
         }
         // Compacts first, so that the successor has less to read and more room in the folder.
-        if self.durability.can_compact(self.live_bytes()) {
+        if self.durability.can_compact(self.snapshot_bytes()) {
             self.compact();
         }
         let mut records = self.running_retry_afters(now);
@@ -348,6 +385,7 @@
             );
         }
         self.upgrade.stage = ProcessStage::HandedOff;
+        self.update_own_share();
         self.clients.set_accepted(false);
         self.effects.push(Effect::HandOffClients);
         self.drop_unrecorded_calls();
--- a/crates/forwarder/tests/common/processes.rs
+++ b/crates/forwarder/tests/common/processes.rs
@@ -4,6 +4,7 @@
 use super::world::SimulatedConnection;
 use super::{MAX_FOLDER_BYTES, SECOND, START, ids};
 use bytes::Bytes;
+use orchidyoke_core::endpoint_list::{EndpointEntry, WatchEvent};
 use orchidyoke_core::interface::Micros;
 use orchidyoke_forwarder::config::Config;
 use orchidyoke_forwarder::connection_pool::EndpointConnectionId;
@@ -148,15 +149,41 @@
     /// Endpoints that an operator has ejected, and the time of the reply `200`.
     pub ejected: BTreeMap<String, Micros>,
     pub upgrades: usize,
+    /// The endpoints of the configuration and of discovery.
+    pub endpoints: Vec<EndpointEntry>,
+    /// Largest size of the folder, in bytes.
+    pub limit_bytes: usize,
+    /// Whether each watch begins with the whole list.
+    pub sends_whole_lists: bool,
+    /// The most bytes that the folder has held, with the second file of a compaction.
+    pub most_bytes: usize,
 }
 
 impl Processes {
     pub fn new() -> Self {
-        let mut world = Processes { now: START, ..Processes::default() };
+        Processes::with_folder(MAX_FOLDER_BYTES, super::endpoint_entries())
+    }
+
+    /// Starts the first process, with a limit of the folder and these endpoints.
+    pub fn with_folder(limit_bytes: usize, endpoints: Vec<EndpointEntry>) -> Self {
+        let sends_whole_lists = limit_bytes != MAX_FOLDER_BYTES;
+        let mut world =
+            Processes { now: START, limit_bytes, endpoints, sends_whole_lists, ..Processes::default() };
         world.start();
         world
     }
 
+    /// Asserts that the folder is within its limit while it holds `more_bytes` beside its files.
+    fn check_folder(&mut self, more_bytes: usize) {
+        let files: usize = self.files.values().map(|file| file.bytes.len()).sum();
+        self.most_bytes = self.most_bytes.max(files + more_bytes);
+        assert!(
+            files + more_bytes <= self.limit_bytes,
+            "the folder is over its limit: files={:?} more={more_bytes}",
+            self.files.values().map(|file| file.bytes.len()).collect::<Vec<_>>()
+        );
+    }
+
     /// Starts a process. As in `Journal::open`, it uses the newest file if the process of that file has ended, or
     /// else a new file.
     pub fn start(&mut self) {
@@ -172,7 +199,8 @@
         file.lock = Some(number);
         let (records, valid_bytes) = replay(Bytes::copy_from_slice(&file.bytes));
         assert_eq!(valid_bytes, file.bytes.len());
-        let text = super::config("127.0.0.1:1", "127.0.0.1:2", super::endpoint_entries());
+        let text = super::config("127.0.0.1:1", "127.0.0.1:2", self.endpoints.clone());
+        let text = text.replace("\"disk_mb\":0.2", &format!("\"disk_mb\":{}", self.limit_bytes as f64 / 1e6));
         let mut config = Config::read(&text, None, None).expect("the configuration is valid");
         config.seed += number as u64;
         let reducer = Reducer::new(config, generation, records, valid_bytes, self.now);
@@ -213,8 +241,15 @@
                 inputs.extend(self.carry_out(process_index, effect));
             }
         }
-        let process = &mut self.processes[process_index];
-        process.started_up = true;
+        self.processes[process_index].started_up = true;
+        // The gauges visit each endpoint, so with a long list they are compared only at the end.
+        if !self.sends_whole_lists {
+            self.check_metrics(process_index);
+        }
+    }
+
+    fn check_metrics(&self, process_index: usize) {
+        let process = &self.processes[process_index];
         assert_eq!(process.reducer.metrics().open_messages(), process.reducer.gauges().open_messages as u64);
     }
 
@@ -237,8 +272,7 @@
                 let file = self.files.get_mut(&generation).expect("the process has a journal");
                 file.bytes.extend_from_slice(&bytes);
                 let size = file.bytes.len();
-                let all: usize = self.files.values().map(|file| file.bytes.len()).sum();
-                assert!(all <= MAX_FOLDER_BYTES, "the folder is over its limit");
+                self.check_folder(0);
                 return Some(Input::Appended { append: append_id, stored: true, size });
             }
             Effect::ReportJournalFull { append: append_id } => {
@@ -246,11 +280,7 @@
                 return Some(Input::Appended { append: append_id, stored: false, size });
             }
             Effect::CompactJournal { bytes } => {
-                let all: usize = self.files.values().map(|file| file.bytes.len()).sum();
-                assert!(
-                    all + bytes.len() <= MAX_FOLDER_BYTES,
-                    "the old and the new journal exceed the limit"
-                );
+                self.check_folder(bytes.len());
                 self.inodes += 1;
                 let file = self.files.get_mut(&generation).expect("the process has a journal");
                 let at_start = !self.processes[process_index].started_up;
@@ -289,7 +319,16 @@
             Effect::PostNotifications { notifications: final_answers, .. } => {
                 assert!(self.processes[process_index].posting.replace(final_answers).is_none());
             }
-            Effect::StartWatch { .. } | Effect::Log { .. } | Effect::StopAccepting | Effect::Exit => {}
+            Effect::StartWatch { watch, .. } => {
+                let event = WatchEvent {
+                    version: 1,
+                    is_snapshot: true,
+                    endpoints: self.endpoints.clone(),
+                    origin: String::new(),
+                };
+                return self.sends_whole_lists.then_some(Input::WatchEvent { watch, event });
+            }
+            Effect::Log { .. } | Effect::StopAccepting | Effect::Exit => {}
         }
         None
     }
@@ -493,6 +532,18 @@
         }
     }
 
+    /// Establishes all requested connections, and has the endpoints accept the messages of all calls.
+    pub fn deliver_all(&mut self) {
+        while let Some((process_index, id)) = self.pick_connection(0, |connection| !connection.established) {
+            let connections = &mut self.processes[process_index].connections;
+            connections.get_mut(&id).expect("the connection is open").established = true;
+            self.input(process_index, Input::ConnectionUp { connection: id });
+        }
+        while self.pick_connection(0, |connection| connection.call.is_some()).is_some() {
+            self.answer(0, 0);
+        }
+    }
+
     pub fn answer(&mut self, selector: usize, answer_kind: u8) {
         let Some((process_index, id)) =
             self.pick_connection(selector, |connection| connection.call.is_some())
@@ -725,6 +776,7 @@
             }
             self.wait(SECOND);
         }
+        (0..self.processes.len()).for_each(|process_index| self.check_metrics(process_index));
         for (message_id, message_state) in &self.messages {
             assert!(
                 !message_state.accepted || message_state.delivered || !message_state.final_answers.is_empty(),
--- a/crates/forwarder/tests/upgrade.rs
+++ b/crates/forwarder/tests/upgrade.rs
@@ -4,8 +4,9 @@
 mod common;
 
 use bytes::Bytes;
-use common::SECOND;
 use common::processes::{Processes, Step};
+use common::{SECOND, endpoint_entries};
+use orchidyoke_core::endpoint_list::{EndpointEntry, EndpointList};
 use orchidyoke_forwarder::endpoint_call::EndpointReply;
 use orchidyoke_forwarder::input::Input;
 use orchidyoke_journal::{ProcessStage, Record, replay};
@@ -112,3 +113,137 @@
         assert_eq!(world.processes[last].connections.len(), 1, "command at process {at}");
     }
 }
+
+/// Limit of the folder and number of endpoints as the platform's pages name them.
+const PLATFORM_FOLDER_BYTES: usize = 3_000_000;
+const PLATFORM_ENDPOINTS: u64 = 3_200;
+/// Largest body that a client may send.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
+/// Size of the journal's file before an upgrade. A single process with the long list compacts it a little later.
+const FILLED_BYTES: usize = 2_150_000;
+/// Size of the bodies that fill the journal before an upgrade.
+const FILL_BODY_BYTES: usize = 20_000;
+
+/// Returns a long list. Only its first endpoints get messages.
+fn long_list() -> Vec<EndpointEntry> {
+    let mut endpoints = endpoint_entries();
+    for number in endpoints.len() as u64..PLATFORM_ENDPOINTS {
+        endpoints.push(EndpointEntry {
+            uid: format!("s-5be2a07c9d41-{number:04}"),
+            kind: "payment-partners".to_owned(),
+            zone: "vitoria".to_owned(),
+            destination: number,
+            ..endpoints[0].clone()
+        });
+    }
+    endpoints
+}
+
+/// What happens to the processes of an upgrade.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ending {
+    /// The predecessor is terminated and exits by itself.
+    Terminated,
+    /// The predecessor is killed before it has seen its successor.
+    PredecessorKilledUnseen,
+    /// The predecessor is killed after it has seen its successor.
+    PredecessorKilled,
+    /// The predecessor is killed after it has handed off.
+    PredecessorKilledAfterHandOff,
+    /// The successor is killed, and another one is started.
+    SuccessorKilled,
+}
+
+/// Submits messages of this size to all processes that accept clients, delivers them, and lets time pass.
+fn exchange(world: &mut Processes, rounds: usize, size: usize, first: &mut usize) {
+    for _ in 0..rounds {
+        for process_index in 0..world.processes.len() {
+            *first += 1;
+            world.submit(
+                process_index,
+                format!("m{first}"),
+                first.is_multiple_of(4),
+                1 + *first as u64 % 3,
+                size,
+            );
+        }
+        // Large messages come as seldom as a client's bandwidth allows.
+        world.wait(if size == MAX_BODY_BYTES { SECOND / 5 } else { SECOND / 50 });
+        world.deliver_all();
+    }
+}
+
+/// Fills the journal nearly up to the size at which a single process compacts it, upgrades the process, and then upgrades it once more.
+fn upgrade_with_a_long_list(size: usize, ending: Ending) {
+    let mut world = Processes::with_folder(PLATFORM_FOLDER_BYTES, long_list());
+    let mut first = 0;
+    while world.files[&0].bytes.len() < FILLED_BYTES {
+        exchange(&mut world, 1, FILL_BODY_BYTES, &mut first);
+    }
+    for _ in 0..2 {
+        let accepted = |world: &Processes| world.messages.values().filter(|message| message.accepted).count();
+        world.start();
+        if ending == Ending::PredecessorKilledUnseen {
+            world.kill(0);
+        }
+        exchange(&mut world, 20, size, &mut first);
+        let before = accepted(&world);
+        exchange(&mut world, 5, size, &mut first);
+        assert!(
+            accepted(&world) > before,
+            "messages must be accepted during the upgrade: {ending:?} size={size} files={:?}",
+            world.files.iter().map(|(generation, file)| (*generation, file.bytes.len())).collect::<Vec<_>>()
+        );
+        match ending {
+            Ending::SuccessorKilled => {
+                world.kill(1);
+                exchange(&mut world, 5, size, &mut first);
+                world.start();
+                exchange(&mut world, 5, size, &mut first);
+            }
+            Ending::PredecessorKilled => world.kill(0),
+            _ => {}
+        }
+        if world.processes.len() > 1 {
+            world.poll_other_journals(0);
+            world.input(0, Input::Shutdown);
+            exchange(&mut world, 20, size, &mut first);
+            if ending == Ending::PredecessorKilledAfterHandOff && world.processes.len() > 1 {
+                world.kill(0);
+            }
+        }
+        world.wait(5 * SECOND);
+        world.deliver_all();
+        assert_eq!((world.processes.len(), world.files.len()), (1, 1), "{ending:?}");
+        let file = world.files.values().next().expect("one file");
+        let (records, _) = replay(Bytes::copy_from_slice(&file.bytes));
+        let mut list = EndpointList::default();
+        for (record, _) in &records {
+            if let Record::EndpointList(event) = record {
+                list.apply(event);
+            }
+        }
+        assert_eq!(list.len(), world.endpoints.len(), "the file that is left must hold the list: {ending:?}");
+    }
+    world.finish();
+}
+
+// Guards against a folder that exceeds its limit in an upgrade with a long list, because each process writes the whole
+// list and none has room to compact its file. Also guards against messages that are rejected for that reason, and
+// against a file without a list.
+#[test]
+fn upgrade_with_a_long_list_stays_within_the_folders_limit() {
+    let endings = [
+        Ending::PredecessorKilled,
+        Ending::Terminated,
+        Ending::PredecessorKilledUnseen,
+        Ending::PredecessorKilledAfterHandOff,
+        Ending::SuccessorKilled,
+    ];
+    for ending in endings {
+        for size in [3_000, MAX_BODY_BYTES] {
+            upgrade_with_a_long_list(size, ending);
+        }
+    }
+}
