Accept an id for one message at both processes of an upgrade

Cause: after its hand-off a process read the other's file no more. Before it, the look at the other's file came a round before the append. Which request began first was known within one process only. A compaction of the other's file took the contents of finished messages with it.

Change: reading the others' files and appending accepted messages is one step under a lock on the folder; a message known elsewhere by then is answered as a known one. A process reads on after its hand-off. Contents are kept over a compaction of the other's file. upgrade_under_load_loses_and_repeats_no_message counted files; it now counts all files but ids.lock, which is as strict on journals.

Evidence: on the code before, one_id_is_accepted_for_one_message_by_both_processes_together fails (sizes 10 and 20 accepted for one id), same_message_at_both_processes_is_held_by_one fails (held twice), id_of_a_message_delivered_by_the_predecessor... fails (Accepted instead of IdInUse), and the process test got "202 Accepted" in its first form, which had the late client refused.

--- a/crates/forwarder/src/client_api.rs
+++ b/crates/forwarder/src/client_api.rs
@@ -14,6 +14,7 @@
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use orchidyoke_core::interface::{DestinationId, Micros};
+use orchidyoke_journal::IdReservations;
 use reading_order::{ReadingOrder, Turn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -44,11 +45,20 @@
 impl ClientGateway {
     /// Returns a gateway to the reducer that receives `inputs`.
     pub fn new(inputs: UnboundedSender<Input>) -> Rc<Self> {
+        ClientGateway::with_reservations(inputs, None)
+    }
+
+    /// Returns a gateway as [`ClientGateway::new`] does, which reserves the ids of requests among the processes of a
+    /// folder.
+    pub fn with_reservations(
+        inputs: UnboundedSender<Input>,
+        reservations: Option<Rc<IdReservations>>,
+    ) -> Rc<Self> {
         Rc::new(ClientGateway {
             inputs,
             waiting: RefCell::default(),
             next_request: Cell::new(0),
-            reading_order: Rc::default(),
+            reading_order: Rc::new(ReadingOrder::shared(reservations)),
         })
     }
 
@@ -60,6 +70,7 @@
     }
 
     /// Submits a message when it is its turn. The turn ends with that: from then on the reducer knows the message's id.
+    /// Other processes know it once it is answered, so the reservation among them ends then.
     async fn submit(&self, mut message: Submission, mut turn: Turn) -> SubmitAnswer {
         let read_at = Instant::now();
         if turn.wait().await.is_err() {
@@ -72,6 +83,7 @@
         self.waiting.borrow_mut().insert(request, sender);
         let _guard = WaitingRequest { gateway: self, request };
         self.report(Input::Submitted { request, message });
+        let _reservation = turn.take_reservation();
         drop(turn);
         receiver.await.unwrap_or(SubmitAnswer::Failed)
     }
--- a/crates/forwarder/src/client_api/reading_order.rs
+++ b/crates/forwarder/src/client_api/reading_order.rs
@@ -2,31 +2,49 @@
 //!
 //! A client may use the id of another client's request that is still arriving. The request whose head came first has the
 //! id until it is submitted or gone. A later one waits for that, but only for as long as its client waits too.
+//!
+//! Other processes on the folder read requests as well during an upgrade. So the first request of this process also
+//! reserves its id among the processes, until it is answered.
 
+use crate::log;
+use orchidyoke_journal::{IdReservation, IdReservations};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Mutex, OwnedMutexGuard};
-use tokio::time::{error::Elapsed, timeout};
+use tokio::time::{error::Elapsed, sleep, timeout};
 
 /// Longest time for which a whole request waits for an earlier one with its id. It leaves time to answer the request
 /// before its client gives up, 400 ms after it has sent it.
 const MAX_WAIT: Duration = Duration::from_millis(250);
+/// Interval of trying to reserve an id that another process has reserved.
+const RESERVE_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The ids in the requests that are being read, each with the lock that the first of its requests holds.
 #[derive(Debug, Default)]
 pub(super) struct ReadingOrder {
     locks: RefCell<HashMap<String, Arc<Mutex<()>>>>,
+    /// The ids reserved among the processes of the folder; `None` if no other process can read requests.
+    reservations: Option<Rc<IdReservations>>,
 }
 
 impl ReadingOrder {
+    /// Returns the order of requests in a process that shares its folder's reservations with others.
+    pub fn shared(reservations: Option<Rc<IdReservations>>) -> Self {
+        ReadingOrder { reservations, ..ReadingOrder::default() }
+    }
+
     /// Registers a request whose head has been read. The request is registered until the result is dropped.
     pub fn register(self: &Rc<Self>, id: &str) -> Turn {
         let lock = self.locks.borrow_mut().entry(id.to_owned()).or_default().clone();
         let held = lock.clone().try_lock_owned().ok();
-        Turn { order: self.clone(), id: id.to_owned(), lock, held }
+        let mut turn = Turn { order: self.clone(), id: id.to_owned(), lock, held, reservation: None };
+        if turn.held.is_some() {
+            turn.reserve();
+        }
+        turn
     }
 }
 
@@ -38,6 +56,7 @@
     lock: Arc<Mutex<()>>,
     /// The lock, if no earlier request with this id is being read.
     held: Option<OwnedMutexGuard<()>>,
+    reservation: Option<IdReservation>,
 }
 
 impl Turn {
@@ -47,10 +66,41 @@
     ///
     /// An earlier request is still being read after [`MAX_WAIT`].
     pub async fn wait(&mut self) -> Result<(), Elapsed> {
+        if self.held.is_some() && self.reserve() {
+            return Ok(());
+        }
+        timeout(MAX_WAIT, self.acquire()).await
+    }
+
+    /// Takes the reservation of the id among the processes, to be dropped when the request is answered.
+    pub fn take_reservation(&mut self) -> Option<IdReservation> {
+        self.reservation.take()
+    }
+
+    async fn acquire(&mut self) {
         if self.held.is_none() {
-            self.held = Some(timeout(MAX_WAIT, self.lock.clone().lock_owned()).await?);
+            self.held = Some(self.lock.clone().lock_owned().await);
+        }
+        while !self.reserve() {
+            sleep(RESERVE_INTERVAL).await;
+        }
+    }
+
+    /// Reserves the id among the processes. Returns `false` if another process has reserved it.
+    fn reserve(&mut self) -> bool {
+        let Some(reservations) = self.order.reservations.as_ref().filter(|_| self.reservation.is_none())
+        else {
+            return true;
+        };
+        match reservations.reserve(&self.id) {
+            Ok(reservation) => self.reservation = reservation,
+            Err(error) => {
+                // No two processes accept the id, but which of them does is left to chance.
+                log!("cannot reserve an id among the processes: error={error}");
+                return true;
+            }
         }
-        Ok(())
+        self.reservation.is_some()
     }
 }
 
--- a/crates/forwarder/src/effects.rs
+++ b/crates/forwarder/src/effects.rs
@@ -1,5 +1,6 @@
 //! Carries out the effects that the reducer requests, on sockets and files. Their results come back as inputs.
 
+use crate::admission_lock::AdmissionLock;
 use crate::client_api::ClientGateway;
 use crate::client_connections::ClientConnections;
 use crate::clock::Clock;
@@ -38,6 +39,7 @@
     pub(crate) inputs: UnboundedSender<Input>,
     pub(crate) client_connections: Rc<ClientConnections>,
     pub(crate) other_journals: OtherJournals,
+    pub(crate) admission_lock: Rc<AdmissionLock>,
     /// The task that follows the endpoint list.
     pub(crate) watch: Option<AbortHandle>,
     /// The task that accepts clients.
@@ -116,7 +118,7 @@
 
     fn hand_off_clients(&mut self) {
         self.listener.take().iter().for_each(AbortHandle::abort);
-        self.other_journals.stop();
+        self.other_journals.hand_off();
         self.client_connections.hand_over();
     }
 
@@ -151,6 +153,12 @@
         if let Input::ConnectionClosed { connection, .. } = &input {
             self.endpoint_connections.remove(connection);
         }
+        if matches!(input, Input::TimerDue)
+            && reducer.has_undecided_messages()
+            && self.other_journals.may_have_others()
+        {
+            return self.admit_messages(reducer);
+        }
         // Some decisions depend on the messages of another process and need the current content of its journal.
         let mut inputs = VecDeque::from_iter(match input {
             Input::Shutdown => self.other_journals.scan_and_poll(),
@@ -158,6 +166,23 @@
             _ => None,
         });
         inputs.push_back(input);
+        self.process_all(reducer, inputs);
+    }
+
+    /// Processes a timer that may have messages accepted. What other processes have accepted is read first, and no other
+    /// process accepts messages between that and the appends of this one.
+    fn admit_messages(&mut self, reducer: &mut Reducer) {
+        let lock = self.admission_lock.clone();
+        let guard = lock.acquire();
+        let mut inputs = VecDeque::from_iter(self.other_journals.scan_and_poll());
+        if guard.is_none() {
+            inputs.push_back(Input::AdmissionBlocked);
+        }
+        inputs.push_back(Input::TimerDue);
+        self.process_all(reducer, inputs);
+    }
+
+    fn process_all(&mut self, reducer: &mut Reducer, mut inputs: VecDeque<Input>) {
         while let Some(input) = inputs.pop_front() {
             let effects = reducer.step(self.clock.now(), input);
             let results: Vec<Input> =
--- a/crates/forwarder/src/input.rs
+++ b/crates/forwarder/src/input.rs
@@ -120,6 +120,8 @@
         /// `true` if it connected, `false` if it disconnected.
         connected: bool,
     },
+    /// No message may be accepted now, because another process that accepts messages on the folder does not respond.
+    AdmissionBlocked,
     /// The process now accepts connections of clients.
     AcceptingClients,
     /// The journal files of other processes on the folder have changed. One input holds all changes found at one time.
@@ -337,8 +339,7 @@
         /// Generation of the file.
         generation: Generation,
     },
-    /// Hand the clients off to the successor: accept no new connections, stop reading the files of other processes, and
-    /// end each client connection with its next answer.
+    /// Hand the clients off to the successor: accept no new connections, take over no more files, and end each client connection with its next answer.
     HandOffClients,
     /// Accept no new connections, and close each client connection once its requests are answered.
     StopAccepting,
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs)]
 
+mod admission_lock;
 pub mod backoff;
 pub mod catalogue;
 pub mod client_api;
--- a/crates/forwarder/src/other_journals.rs
+++ b/crates/forwarder/src/other_journals.rs
@@ -48,7 +48,8 @@
     expects_others: bool,
     next_scan: Instant,
     next_poll: Instant,
-    is_stopped: bool,
+    /// Whether this process may take over the files of ended processes.
+    takes_over: bool,
 }
 
 impl OtherJournals {
@@ -62,22 +63,27 @@
             expects_others,
             next_scan: now,
             next_poll: now,
-            is_stopped: false,
+            takes_over: true,
         }
     }
 
+    /// Returns whether other processes may accept messages beside this one.
+    pub fn may_have_others(&self) -> bool {
+        self.expects_others || !self.known.is_empty()
+    }
+
     /// Returns the time at which [`OtherJournals::poll_due`] next scans or polls; `None` if there is nothing to scan or
     /// poll.
     pub fn wake_at(&self) -> Option<Instant> {
         let poll = (!self.known.is_empty()).then_some(self.next_poll);
         let scan = self.expects_others.then_some(self.next_scan);
-        poll.into_iter().chain(scan).min().filter(|_| !self.is_stopped)
+        poll.into_iter().chain(scan).min()
     }
 
     /// Scans and polls if due. Returns the changes as an input; `None` if there are none.
     pub fn poll_due(&mut self) -> Option<Input> {
         let now = Instant::now();
-        if self.is_stopped || self.wake_at().is_none_or(|at| at > now) {
+        if self.wake_at().is_none_or(|at| at > now) {
             return None;
         }
         if self.expects_others && self.next_scan <= now {
@@ -88,7 +94,7 @@
 
     /// Scans and polls at once. Returns the changes as an input; `None` if there are none.
     pub fn scan_and_poll(&mut self) -> Option<Input> {
-        if self.is_stopped || !self.expects_others && self.known.is_empty() {
+        if !self.may_have_others() {
             return None;
         }
         self.scan();
@@ -97,9 +103,6 @@
 
     /// Polls the known journals at once. Returns the changes as an input; `None` if there are none.
     pub fn poll(&mut self) -> Option<Input> {
-        if self.is_stopped {
-            return None;
-        }
         self.next_poll = Instant::now() + POLL_INTERVAL;
         let mut updates = Vec::new();
         let mut removed = Vec::new();
@@ -125,7 +128,10 @@
         };
         match find_other_journals(&self.folder, is_known) {
             Ok(found) => {
-                for journal in found {
+                for mut journal in found {
+                    if !self.takes_over {
+                        journal.stop_locking();
+                    }
                     log!("other process: found its journal: generation={}", journal.generation());
                     self.known.push(KnownJournal::new(journal));
                 }
@@ -147,10 +153,14 @@
         });
     }
 
-    /// Stops polling, because this process hands over to its successor and takes over nothing more.
-    pub fn stop(&mut self) {
-        self.is_stopped = true;
-        self.known.clear();
+    /// Stops taking over files, because this process has handed off to its successor. The files are still read, because
+    /// both processes accept messages until this one ends.
+    pub fn hand_off(&mut self) {
+        self.takes_over = false;
+        for known in &mut self.known {
+            known.journal.stop_locking();
+            known.has_ended = false;
+        }
     }
 }
 
--- a/crates/forwarder/src/reducer/message_table.rs
+++ b/crates/forwarder/src/reducer/message_table.rs
@@ -148,6 +148,12 @@
         self.awaiting_decision.iter().copied().find(|number| self.get(*number).is_some_and(waits))
     }
 
+    /// Returns the messages that wait for a decision.
+    pub fn undecided(&self) -> impl Iterator<Item = (MessageId, &Message)> {
+        let undecided = self.awaiting_decision.iter();
+        undecided.filter_map(|number| Some((*number, self.get(*number)?)))
+    }
+
     /// Returns the messages that waited for a decision and were not dropped, each with the requests that wait for it.
     pub fn take_decided(&mut self) -> Vec<DecidedMessage> {
         let awaiting = std::mem::take(&mut self.awaiting_decision);
--- a/crates/forwarder/src/reducer/mod.rs
+++ b/crates/forwarder/src/reducer/mod.rs
@@ -117,6 +117,7 @@
             Input::ClientConnection { connected } => self.clients.on_connection(connected),
             Input::Appended { append, stored, size } => self.on_appended(now, append, stored, size),
             Input::ConnectionUp { connection } => self.on_connection_up(now, connection),
+            Input::AdmissionBlocked => self.reject_undecided(),
             Input::AcceptingClients => self.accept_clients(),
             Input::OtherProcessesUpdated { updates, removed } => {
                 self.on_other_processes(now, updates, &removed)
@@ -184,6 +185,11 @@
         self.controller.has_events() || self.messages.has_undecided()
     }
 
+    /// Returns whether a message waits to be accepted.
+    pub fn has_undecided_messages(&self) -> bool {
+        self.messages.has_undecided()
+    }
+
     fn next_round_at(&self) -> Micros {
         self.controller.last_round_at() + self.settings.tick
     }
@@ -216,6 +222,7 @@
             }
         }
         self.record_faulty_routes();
+        self.answer_messages_known_elsewhere(now, &mut sends);
         self.record_admitted();
         self.start_calls(now, sends);
         self.forget_unlisted();
--- a/crates/forwarder/src/reducer/recovered_state.rs
+++ b/crates/forwarder/src/reducer/recovered_state.rs
@@ -12,7 +12,7 @@
 use orchidyoke_core::endpoint_list::EndpointList;
 use orchidyoke_core::interface::Micros;
 use orchidyoke_journal::{ProcessStage, Record, RecordsWithBodies};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// Minimum number of the newest ids of finished messages that are kept from a file. At most twice this number is kept.
@@ -86,6 +86,25 @@
         }
     }
 
+    /// Adds the contents of messages that have ended and whose content a compacted file lacks. `before` is the state that
+    /// the file described before its compaction.
+    pub fn restore_contents(&mut self, before: &RecoveredState) {
+        let mut contents: HashMap<&str, ContentDigest> = HashMap::new();
+        let answers = before.pending_answers.iter().map(|answer| (&answer.id, answer.content));
+        let finished = before.finished.iter().map(|finished| (&finished.id, finished.content));
+        let ended = answers.chain(finished);
+        contents.extend(ended.filter_map(|(id, content)| Some((id.as_str(), content?))));
+        for (accepted, body) in before.accepted.iter() {
+            contents.insert(&accepted.id, ContentDigest::of_accepted(accepted, body));
+        }
+        for answer in &mut self.pending_answers {
+            answer.content = answer.content.or_else(|| contents.get(answer.id.as_str()).copied());
+        }
+        for finished in &mut self.finished {
+            finished.content = finished.content.or_else(|| contents.get(finished.id.as_str()).copied());
+        }
+    }
+
     /// Marks a message as finished, so that it needs no notification. `content` is what it delivered, if the file still
     /// had the message.
     fn finish(&mut self, id: String, at: Micros, mut content: Option<ContentDigest>) {
--- a/crates/forwarder/src/reducer/submission.rs
+++ b/crates/forwarder/src/reducer/submission.rs
@@ -4,6 +4,9 @@
 //! record is appended, and the request is answered with 202 once the record is stored.
 
 use super::Reducer;
+use super::attempts::Send;
+use super::call_results::ReplyInfo;
+use super::call_table::AttemptId;
 use super::durability::AfterAppend;
 use super::message_content::{ContentDigest, KnownContent};
 use super::message_table::{DecidedMessage, Message, message_size};
@@ -11,7 +14,7 @@
 use crate::metrics::MessageEnd;
 use crate::ownership::{HandoverMark, Peer};
 use bytes::Bytes;
-use orchidyoke_core::interface::{Event, Idempotency, MessageId, Micros};
+use orchidyoke_core::interface::{Event, Idempotency, MessageId, Micros, Outcome};
 use orchidyoke_journal::{AcceptedMessage, HandoverState, Record, RecordsWithBodies};
 
 /// Retry-After of a message that is rejected before it reaches the controller. After about this time some messages will
@@ -250,6 +253,50 @@
         Some(message)
     }
 
+    /// Answers the requests of messages that another process has accepted since they were submitted. This process does
+    /// not accept them as well; the sends that the controller has decided for them are withdrawn.
+    pub(super) fn answer_messages_known_elsewhere(&mut self, now: Micros, sends: &mut Vec<Send>) {
+        let undecided = self.messages.undecided().filter(|(_, message)| !message.stored);
+        let known = undecided.filter_map(|(number, message)| {
+            let known = self.upgrade.content_elsewhere(&message.accepted.id)?;
+            let is_same = known.may_be(message.content());
+            Some((number, if is_same { SubmitAnswer::Accepted } else { SubmitAnswer::IdInUse }))
+        });
+        for (number, answer) in known.collect::<Vec<_>>() {
+            let attempt = self.messages.get(number).map_or(0, |message| message.accepted.attempts);
+            self.refuse_undecided(number, answer);
+            let sends_before = sends.len();
+            sends.retain(|send| send.message != number);
+            if sends.len() < sends_before {
+                let attempt = AttemptId { message: number, attempt };
+                self.finish_attempt(now, attempt, Outcome::NotSent, now, ReplyInfo::default());
+            }
+        }
+    }
+
+    /// Rejects all messages that wait to be accepted.
+    pub(super) fn reject_undecided(&mut self) {
+        let undecided = self.messages.undecided().filter(|(_, message)| !message.stored);
+        let undecided: Vec<MessageId> = undecided.map(|(number, _)| number).collect();
+        for number in undecided {
+            if let Some(message) = self.messages.get(number) {
+                self.metrics.on_ended_before_accepted(&message.accepted.class, MessageEnd::Overload);
+            }
+            self.refuse_undecided(number, SubmitAnswer::Rejected(self.no_room_retry_after()));
+        }
+    }
+
+    /// Drops a message that is not accepted and answers the requests that wait for it.
+    pub(super) fn refuse_undecided(&mut self, number: MessageId, answer: SubmitAnswer) {
+        let Some(message) = self.drop_message(number) else { return };
+        if answer == SubmitAnswer::IdInUse {
+            let id = &message.accepted.id;
+            self.log(format!("submission rejected, another message has its id id={id:?}"));
+        }
+        self.controller.push(Event::Withdrawn { id: number });
+        message.waiting_requests.into_iter().for_each(|request| self.answer(request, answer));
+    }
+
     /// Records the messages that the controller has not rejected.
     pub(super) fn record_admitted(&mut self) {
         let decided = self.messages.take_decided();
--- a/crates/forwarder/src/reducer/takeover.rs
+++ b/crates/forwarder/src/reducer/takeover.rs
@@ -8,7 +8,7 @@
 use super::final_answers::{DecidedAnswer, FinishedId};
 use super::journaled_messages::end_in_doubt;
 use super::message_content::ContentDigest;
-use crate::input::Effect;
+use crate::input::{Effect, SubmitAnswer};
 use crate::metrics::MessageEnd;
 use bytes::Bytes;
 use orchidyoke_core::interface::{MessageId, Micros};
@@ -116,6 +116,7 @@
         let count = takeover.messages.len();
         for (accepted, body) in takeover.messages {
             self.upgrade.release_message(generation, &accepted.id);
+            self.refuse_undecided_other(&accepted, &body);
             match self.messages.number_of(&accepted.id) {
                 Some(number) => self.merge_message(now, number, &accepted),
                 None => self.restore(accepted, body, now),
@@ -134,6 +135,15 @@
         }
     }
 
+    /// Refuses a message that waits to be accepted and has the id, but not the content, of a message that is taken over.
+    fn refuse_undecided_other(&mut self, taken: &AcceptedMessage, body: &Bytes) {
+        let Some(number) = self.messages.number_of(&taken.id) else { return };
+        let own = self.messages.get(number).filter(|own| !own.stored);
+        if own.is_some_and(|own| own.content() != ContentDigest::of_accepted(taken, body)) {
+            self.refuse_undecided(number, SubmitAnswer::IdInUse);
+        }
+    }
+
     /// Gives the messages of an ended process their final answers, because the folder has no room for the messages.
     fn finish_without_room(&mut self, now: Micros, takeover: &mut Takeover) {
         let retry_after_ms = self.no_room_retry_after() / 1000;
--- a/crates/forwarder/src/reducer/upgrade.rs
+++ b/crates/forwarder/src/reducer/upgrade.rs
@@ -81,7 +81,19 @@
         calls.len()
     }
 
-    /// Applies new records. Returns the changes that this process has to apply as well.
+    /// Applies an update of the file. Returns the changes that this process has to apply as well. A rewritten file is
+    /// read from its beginning. It holds only the ids of finished messages, so their contents are kept.
+    fn update(&mut self, update: OtherProcessUpdate) -> SharedChanges {
+        let OtherProcessUpdate { generation: _, rewritten, records, size, ended } = update;
+        let before = if rewritten { std::mem::take(&mut self.state) } else { RecoveredState::default() };
+        self.file_bytes = size;
+        self.ended = ended;
+        let mut changes = self.apply(records);
+        changes.is_list_changed |= rewritten;
+        self.state.restore_contents(&before);
+        changes
+    }
+
     fn apply(&mut self, records: RecordsWithBodies) -> SharedChanges {
         let mut changes = SharedChanges::default();
         for (record, body) in records {
@@ -252,6 +264,9 @@
         updates: Vec<OtherProcessUpdate>,
         removed: &[Generation],
     ) {
+        if self.upgrade.has_handed_off() {
+            return self.read_after_hand_off(updates, removed);
+        }
         let older_began_attempts = self.upgrade.older_process_begins_attempts();
         self.upgrade.others.retain(|generation, _| !removed.contains(generation));
         if !removed.is_empty() {
@@ -278,20 +293,24 @@
         self.controller.update_max_calls(self.controller_settings());
     }
 
+    /// Applies the changes in the files of other processes after the hand-off. This process only needs to know which
+    /// messages they have accepted, and how much space they use.
+    fn read_after_hand_off(&mut self, updates: Vec<OtherProcessUpdate>, removed: &[Generation]) {
+        self.upgrade.others.retain(|generation, _| !removed.contains(generation));
+        for update in updates {
+            self.upgrade.others.entry(update.generation).or_default().update(update);
+        }
+        self.update_own_share();
+    }
+
     fn apply_process_update(&mut self, now: Micros, update: OtherProcessUpdate) {
-        let OtherProcessUpdate { generation, rewritten, records, size, ended } = update;
+        let (generation, ended) = (update.generation, update.ended);
         if !self.upgrade.others.contains_key(&generation) && !ended {
             // The other process did not run when this process received its Retry-After values.
             self.append_all(&self.running_retry_afters(now), None);
         }
-        let other = self.upgrade.others.entry(generation).or_default();
-        if rewritten {
-            other.state = RecoveredState::default();
-        }
-        other.file_bytes = size;
-        other.ended = ended;
-        let changes = other.apply(records);
-        if rewritten || changes.is_list_changed {
+        let changes = self.upgrade.others.entry(generation).or_default().update(update);
+        if changes.is_list_changed {
             self.on_lists_changed();
         }
         self.adopt_overrides(now, changes.overrides);
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -1,5 +1,6 @@
 //! Starts the forwarder on its folder and runs the loop of inputs and effects until it ends.
 
+use crate::admission_lock::AdmissionLock;
 use crate::client_api::ClientGateway;
 use crate::client_connections::ClientConnections;
 use crate::client_listener;
@@ -15,7 +16,7 @@
 use crate::reducer::Reducer;
 use crate::reload::{ConfigSource, Reloads};
 use crate::shutdown::Signals;
-use orchidyoke_journal::{Journal, JournalError, OpenedJournal};
+use orchidyoke_journal::{IdReservations, Journal, JournalError, OpenedJournal};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -148,17 +149,22 @@
     let console_connections = config.console.map_or(0, |_| console_listener::MAX_CONNECTIONS);
     let max_clients = config.limits.max_client_connections(config.settings.max_calls, console_connections);
     log!("{} starts: {} records in its journal", config.name, records.len());
+    let journal_error = |source| ServeError::Journal { folder: state.to_owned(), source };
+    let admission_lock = AdmissionLock::open(state).map_err(journal_error)?;
+    let reservations = expects_others.then(|| IdReservations::open(state)).transpose();
+    let reservations = reservations.map_err(journal_error)?;
     let reducer = Reducer::new(config, generation, records, size, clock.now());
     let runner = EffectRunner {
         clock,
         journal,
-        gateway: ClientGateway::new(inputs.clone()),
+        gateway: ClientGateway::with_reservations(inputs.clone(), reservations),
         console: ConsoleGateway::new(inputs.clone()),
         endpoint_connections: HashMap::new(),
         peers: Rc::default(),
         inputs,
         client_connections: ClientConnections::new(max_clients),
         other_journals: OtherJournals::new(state, generation, other_journals, expects_others),
+        admission_lock: Rc::new(admission_lock),
         watch: None,
         listener: None,
         exit_requested: false,
--- a/crates/forwarder/tests/common/processes.rs
+++ b/crates/forwarder/tests/common/processes.rs
@@ -110,7 +110,8 @@
     pub connections: BTreeMap<EndpointConnectionId, SimulatedConnection>,
     /// The inode of each other file, and the number of bytes read from it.
     pub read: BTreeMap<Generation, (u64, usize)>,
-    pub submitted_requests: BTreeMap<RequestId, String>,
+    /// The id of the message of each request that waits for its answer, and the size of its body.
+    pub submitted_requests: BTreeMap<RequestId, (String, usize)>,
     pub replies: BTreeMap<RequestId, console::ConsoleReply>,
     pub posting: Option<Vec<(String, FinalAnswer)>>,
     /// Whether the process has handed over its clients. It then polls no other journal.
@@ -130,6 +131,8 @@
     pub dest: u64,
     pub deadline: Micros,
     pub accepted: bool,
+    /// Size of the body that was accepted first.
+    pub accepted_size: Option<usize>,
     pub calls: usize,
     pub possibly_delivered: bool,
     pub delivered: bool,
@@ -149,6 +152,8 @@
     /// Endpoints that an operator has ejected, and the time of the reply `200`.
     pub ejected: BTreeMap<String, Micros>,
     pub upgrades: usize,
+    /// Each answer to a client: the id of its message, the size of its body, and the answer.
+    pub answers: Vec<(String, usize, SubmitAnswer)>,
     /// The endpoints of the configuration and of discovery.
     pub endpoints: Vec<EndpointEntry>,
     /// Largest size of the folder, in bytes.
@@ -257,12 +262,20 @@
         let generation = self.processes[process_index].generation;
         match effect {
             Effect::Answer { request: request_id, answer } => {
-                let message_id = self.processes[process_index]
+                let (message_id, size) = self.processes[process_index]
                     .submitted_requests
                     .remove(&request_id)
                     .expect("each request is answered once");
+                self.answers.push((message_id.clone(), size, answer));
                 if answer == SubmitAnswer::Accepted {
-                    self.messages.get_mut(&message_id).expect("the message was submitted").accepted = true;
+                    let message = self.messages.get_mut(&message_id).expect("the message was submitted");
+                    let has_ended = message.delivered || !message.final_answers.is_empty();
+                    let accepted_size = *message.accepted_size.get_or_insert(size);
+                    assert!(
+                        has_ended || accepted_size == size,
+                        "two messages with one id are accepted: {message_id} sizes={accepted_size},{size}"
+                    );
+                    message.accepted = true;
                 }
             }
             Effect::Reply { request: request_id, reply } => {
@@ -434,9 +447,7 @@
 
     /// Polls the journals of the other processes as `OtherJournals` does, and passes the changes to the reducer.
     pub fn poll_other_journals(&mut self, process_index: usize) {
-        if self.processes[process_index].handed_over {
-            return;
-        }
+        let takes_over = !self.processes[process_index].handed_over;
         let (number, own) = (self.processes[process_index].number, self.processes[process_index].generation);
         let known: BTreeSet<Generation> = self.processes[process_index].read.keys().copied().collect();
         let others: BTreeSet<Generation> =
@@ -448,7 +459,9 @@
                 removed.push(generation);
                 continue;
             };
-            file.lock = file.lock.or(Some(number));
+            if takes_over {
+                file.lock = file.lock.or(Some(number));
+            }
             let ended = file.lock == Some(number);
             let (inode, read) =
                 self.processes[process_index].read.get(&generation).copied().unwrap_or_default();
@@ -472,6 +485,17 @@
         }
     }
 
+    /// Passes a due timer to the reducer. As in the forwarder, the other journals are polled before messages are accepted.
+    fn fire_timer(&mut self, process_index: usize) {
+        let number = self.processes[process_index].number;
+        if self.processes[process_index].reducer.has_undecided_messages() {
+            self.poll_other_journals(process_index);
+        }
+        if self.processes.get(process_index).is_some_and(|process| process.number == number) {
+            self.input(process_index, Input::TimerDue);
+        }
+    }
+
     /// Picks one of the connections of all processes for which `is_suitable` returns `true`. Returns the index of its
     /// process, and its id.
     pub fn pick_connection(
@@ -516,7 +540,7 @@
         let number = self.processes[process_index].number;
         self.poll_other_journals(process_index);
         if self.processes.get(process_index).is_some_and(|process| process.number == number) {
-            self.processes[process_index].submitted_requests.insert(request_id, message_id.clone());
+            self.processes[process_index].submitted_requests.insert(request_id, (message_id.clone(), size));
             let message = Submission {
                 id: message_id,
                 class,
@@ -622,7 +646,7 @@
                 if let Some(process_index) = index_of(self)
                     && self.processes[process_index].reducer.wake_at().is_some_and(|wake| wake <= self.now)
                 {
-                    self.input(process_index, Input::TimerDue);
+                    self.fire_timer(process_index);
                 }
                 if let Some(process_index) = index_of(self)
                     && let Some(final_answers) = self.processes[process_index].posting.take()
--- a/crates/forwarder/tests/upgrade.rs
+++ b/crates/forwarder/tests/upgrade.rs
@@ -7,8 +7,9 @@
 use common::processes::{Processes, Step};
 use common::{SECOND, endpoint_entries};
 use orchidyoke_core::endpoint_list::{EndpointEntry, EndpointList};
+use orchidyoke_core::interface::Micros;
 use orchidyoke_forwarder::endpoint_call::EndpointReply;
-use orchidyoke_forwarder::input::Input;
+use orchidyoke_forwarder::input::{Input, SubmitAnswer};
 use orchidyoke_journal::{ProcessStage, Record, replay};
 use quickcheck::{Gen, QuickCheck};
 
@@ -114,6 +115,94 @@
     }
 }
 
+/// Submits two messages with one id, in this order of processes, and returns the answers. `pause` is the time between
+/// them.
+fn submit_one_id_twice(
+    world: &mut Processes,
+    order: [usize; 2],
+    sizes: [usize; 2],
+    pause: Micros,
+) -> Vec<SubmitAnswer> {
+    let first = world.answers.len();
+    for (process_index, size) in order.into_iter().zip(sizes) {
+        world.submit(process_index, "shared".to_owned(), true, 2, size);
+        world.wait(pause);
+    }
+    world.wait(SECOND / 20);
+    world.answers[first..].iter().map(|(_, _, answer)| *answer).collect()
+}
+
+// Guards against two messages with one id that two processes accept, so that one of them is lost: in the same moment,
+// and one after the other, before and after the predecessor has handed off.
+#[test]
+fn one_id_is_accepted_for_one_message_by_both_processes_together() {
+    for order in [[0, 1], [1, 0]] {
+        for pause in [0, SECOND / 20] {
+            for hands_off in [false, true] {
+                let mut world = Processes::new();
+                world.start();
+                world.wait(SECOND / 20);
+                if hands_off {
+                    // A call keeps the predecessor running.
+                    world.submit(0, "out".to_owned(), true, 3, 10);
+                    world.wait(SECOND / 20);
+                    let (_, id) = world.pick_connection(0, |_| true).expect("a connection is requested");
+                    world.processes[0].connections.get_mut(&id).expect("it exists").established = true;
+                    world.input(0, Input::ConnectionUp { connection: id });
+                    world.input(0, Input::Shutdown);
+                    assert!(world.processes[0].handed_over);
+                }
+                let case = format!("order={order:?} pause={pause} hands_off={hands_off}");
+                let answers = submit_one_id_twice(&mut world, order, [10, 20], pause);
+                assert_eq!(answers.len(), 2, "{case}");
+                let accepted = answers.iter().filter(|answer| **answer == SubmitAnswer::Accepted).count();
+                assert_eq!(accepted, 1, "{case}: {answers:?}");
+                assert!(answers.contains(&SubmitAnswer::IdInUse), "{case}: {answers:?}");
+                world.finish();
+            }
+        }
+    }
+}
+
+// Guards against a message that a client submits again to the other process, and that both processes then hold and
+// send.
+#[test]
+fn same_message_at_both_processes_is_held_by_one() {
+    for order in [[0, 1], [1, 0]] {
+        for pause in [0, SECOND / 20] {
+            let mut world = Processes::new();
+            world.start();
+            world.wait(SECOND / 20);
+            let answers = submit_one_id_twice(&mut world, order, [10, 10], pause);
+            assert_eq!(answers, [SubmitAnswer::Accepted; 2], "order={order:?} pause={pause}");
+            let held = world.processes.iter().map(|process| process.reducer.gauges().open_messages);
+            assert_eq!(held.sum::<usize>(), 1, "order={order:?} pause={pause}");
+            world.finish();
+        }
+    }
+}
+
+// Guards against a message that the successor takes for one that the predecessor has delivered, because it has the same
+// id and the predecessor's journal was compacted at the hand-off.
+#[test]
+fn id_of_a_message_delivered_by_the_predecessor_is_not_accepted_for_another_one() {
+    let mut world = Processes::new();
+    world.start();
+    world.submit(0, "shared".to_owned(), true, 2, 10);
+    world.wait(SECOND / 20);
+    world.deliver_all();
+    assert!(world.messages["shared"].delivered);
+    world.wait(SECOND / 20);
+    world.poll_other_journals(0);
+    world.input(0, Input::Shutdown);
+    world.wait(SECOND / 20);
+    let last = world.processes.len() - 1;
+    for (size, answer) in [(20, SubmitAnswer::IdInUse), (10, SubmitAnswer::Accepted)] {
+        world.submit(last, "shared".to_owned(), true, 2, size);
+        assert_eq!(world.answers.last().map(|(_, _, answer)| *answer), Some(answer), "size {size}");
+    }
+}
+
 /// Limit of the folder and number of endpoints as the platform's pages name them.
 const PLATFORM_FOLDER_BYTES: usize = 3_000_000;
 const PLATFORM_ENDPOINTS: u64 = 3_200;
--- /dev/null
+++ b/crates/journal/src/id_reservations.rs
@@ -0,0 +1,89 @@
+//! Reservations of message ids among the processes of a folder.
+//!
+//! A reservation is a lock on one byte of a file, which the id determines. The operating system releases it when its
+//! process ends in any way. The file has no content. Two ids with the same byte exclude each other, which is rare.
+
+use crate::error::JournalError;
+use nix::errno::Errno;
+use nix::fcntl::{FcntlArg, fcntl};
+use nix::libc;
+use std::fs::{File, OpenOptions};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io;
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+const FILE_NAME: &str = "ids.lock";
+
+/// The reservations of this process.
+#[derive(Debug)]
+pub struct IdReservations {
+    path: PathBuf,
+    file: File,
+}
+
+/// The reservation of one id. It is released when this value is dropped.
+#[derive(Debug)]
+pub struct IdReservation {
+    reservations: Rc<IdReservations>,
+    byte: libc::off_t,
+}
+
+impl IdReservations {
+    /// Opens the reservations of a folder.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be opened or created.
+    pub fn open(folder: &Path) -> Result<Rc<Self>, JournalError> {
+        let path = folder.join(FILE_NAME);
+        let file = OpenOptions::new().create(true).append(true).open(&path);
+        let file = file.map_err(JournalError::io("open", &path))?;
+        Ok(Rc::new(IdReservations { path, file }))
+    }
+
+    /// Reserves an id. Returns `None` if another process has reserved it. Within one process, each request for an id is
+    /// granted, and the first release ends all of them.
+    ///
+    /// # Errors
+    ///
+    /// The system cannot lock the file.
+    pub fn reserve(self: &Rc<Self>, id: &str) -> Result<Option<IdReservation>, JournalError> {
+        let byte = byte_of(id);
+        match self.lock(byte, libc::F_WRLCK) {
+            Ok(()) => Ok(Some(IdReservation { reservations: self.clone(), byte })),
+            Err(Errno::EAGAIN | Errno::EACCES) => Ok(None),
+            Err(error) => Err(JournalError::io("lock", &self.path)(io::Error::from(error))),
+        }
+    }
+
+    fn lock(&self, byte: libc::off_t, kind: libc::c_int) -> Result<(), Errno> {
+        let range = libc::flock {
+            l_type: kind as libc::c_short,
+            l_whence: libc::SEEK_SET as libc::c_short,
+            l_start: byte,
+            l_len: 1,
+            l_pid: 0,
+        };
+        fcntl(self.file.as_raw_fd(), FcntlArg::F_OFD_SETLK(&range)).map(drop)
+    }
+}
+
+impl Drop for IdReservation {
+    fn drop(&mut self) {
+        // Releasing fails only for a file that is not open.
+        let _ = self.reservations.lock(self.byte, libc::F_UNLCK);
+    }
+}
+
+/// Returns the byte of the file that stands for an id.
+fn byte_of(id: &str) -> libc::off_t {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    // The highest bit is the sign, and the last byte would end beyond the largest offset.
+    (hasher.finish() >> 2) as libc::off_t
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -17,6 +17,8 @@
 mod error;
 mod file;
 mod folder;
+mod folder_lock;
+mod id_reservations;
 mod other;
 mod record;
 mod recovery;
@@ -25,6 +27,8 @@
 pub use error::{DecodeError, JournalError};
 pub use file::{Journal, OpenedJournal};
 pub use folder::Generation;
+pub use folder_lock::{FolderLock, FolderLockGuard};
+pub use id_reservations::{IdReservation, IdReservations};
 pub use other::{JournalUpdate, OtherJournal, find_other_journals};
 pub use record::{
     AcceptedMessage, AttemptStart, FinalAnswer, HandoverOffer, HandoverState, ProcessStage, Record,
--- a/crates/journal/src/other.rs
+++ b/crates/journal/src/other.rs
@@ -19,6 +19,8 @@
     /// The file with its lock, once its process has ended; `None` before. The lock keeps other processes from taking
     /// the file over.
     lock: Option<File>,
+    /// Whether this process locks the file once its process has ended.
+    is_locked_at_end: bool,
 }
 
 /// The changes to another process's file since the last update.
@@ -36,7 +38,14 @@
 
 impl OtherJournal {
     pub(crate) fn new(folder: &Path, generation: Generation) -> Self {
-        OtherJournal { generation, path: path_of(folder, generation), inode: 0, read_bytes: 0, lock: None }
+        OtherJournal {
+            generation,
+            path: path_of(folder, generation),
+            inode: 0,
+            read_bytes: 0,
+            lock: None,
+            is_locked_at_end: true,
+        }
     }
 
     /// Returns the generation of the file.
@@ -73,8 +82,15 @@
         Ok(Some(JournalUpdate { rewritten, records, size, ended: self.lock.is_some() }))
     }
 
+    /// Leaves the file to other processes to take over. Its growth can still be read, but whether its process has ended is
+    /// not found out any more.
+    pub fn stop_locking(&mut self) {
+        self.lock = None;
+        self.is_locked_at_end = false;
+    }
+
     fn lock_if_ended(&mut self) -> Result<(), JournalError> {
-        if self.lock.is_none() {
+        if self.is_locked_at_end && self.lock.is_none() {
             let probe = File::open(&self.path).map_err(JournalError::io("open", &self.path))?;
             if lock(&probe, &self.path)? && is_still_named(&probe, &self.path) {
                 self.lock = Some(probe);
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -556,15 +556,66 @@
         "no message failed or was rejected"
     );
     assert!(ask_console(console, "enable-server s-d").starts_with("200 "));
-    assert_eq!(
-        std::fs::read_dir(folder.join("state")).expect("folder read").count(),
-        1,
-        "one journal is left"
-    );
+    let files = std::fs::read_dir(folder.join("state")).expect("folder read");
+    let names = files.map(|file| file.expect("file read").file_name().into_string().expect("valid name"));
+    let journals: Vec<String> = names.filter(|name| name != "ids.lock").collect();
+    assert_eq!(journals.len(), 1, "one journal is left: {journals:?}");
     predecessor.kill();
     std::fs::remove_dir_all(&folder).expect("folder removed");
 }
 
+// Guards against a message that the predecessor of an upgrade accepts and that nobody delivers, because another client
+// has had its id accepted by the successor while the request was still arriving. The predecessor has handed off and
+// answers on the connections that are open.
+#[test]
+fn id_of_an_arriving_request_is_not_accepted_by_the_successor_for_another_client() {
+    // The call to the endpoint stays out, so that the predecessor goes on running.
+    let (endpoint, calls) = scripted_server(|_| {
+        thread::sleep(Duration::from_millis(1_500));
+        Some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    });
+    let (discovery, _notifications) = fake_discovery();
+    let folder = folder_with_config("shared-id", endpoint, discovery);
+    std::fs::create_dir_all(folder.join("state")).expect("folder created");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener bound");
+    let (mut predecessor, _) = start_beside(&folder, &listener);
+    let address = predecessor.address;
+    let request = |txn: &str, body: &str| {
+        format!(
+            "POST /orders HTTP/1.1\r\nHost: x\r\nX-Txn: {txn}.\r\nX-Org: acme\r\nX-Remaining: 20\r\n\
+             X-Consignee: dest=2\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let submit = |connection: &mut BufReader<TcpStream>, text: &str| {
+        connection.get_mut().write_all(text.as_bytes()).expect("bytes sent");
+        read_request(connection).expect("answer received").0
+    };
+    let connect = || {
+        let stream = TcpStream::connect(address).expect("connected");
+        stream.set_nodelay(true).expect("TCP_NODELAY set");
+        BufReader::new(stream)
+    };
+    let mut persistent = connect();
+    assert!(submit(&mut persistent, &request("first", "x")).starts_with("HTTP/1.1 202"));
+    wait_for(&calls, "x-txn: first.");
+    let (successor, _) = start_beside(&folder, &listener);
+    predecessor.signal("TERM");
+    wait_for(&predecessor.log, "handed off to the successor");
+    // The client that begins first has the id, and the other one gets the error.
+    let whole = request("shared", "of the usual client");
+    let (start, rest) = whole.split_at(whole.len() - 5);
+    persistent.get_mut().write_all(start.as_bytes()).expect("bytes sent");
+    let answer = submit(&mut connect(), &request("shared", "of another client"));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let answer = submit(&mut persistent, rest);
+    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
+    assert!(wait_for(&calls, "x-txn: shared.").ends_with("of the usual client"));
+    assert!(predecessor.child.wait().expect("process exited").success());
+    successor.kill();
+    std::fs::remove_dir_all(&folder).expect("folder removed");
+}
+
 /// Sends a request on a new connection, split at these bytes, and returns the answer.
 fn send_in_pieces(address: SocketAddr, text: &str, split_offsets: &[usize]) -> String {
     let mut stream = TcpStream::connect(address).expect("connected");
