Pass a superseded address of discovery on to the successor

Cause: the record that a reload has superseded the address from the command line stood in the old process's file alone. The successor took nothing of it, and the takeover removed the file.

Change: a process adopts the superseded address of each other file if it was given the same one, records it in its own file, restarts its watch, posts at once and reads its configuration again.

--- a/crates/forwarder/src/effects.rs
+++ b/crates/forwarder/src/effects.rs
@@ -16,6 +16,7 @@
 use crate::ownership::OutgoingOffer;
 use crate::peer_call::{OfferTimes, PeerConnections};
 use crate::reducer::Reducer;
+use crate::reload::{self, ConfigSource};
 use bytes::Bytes;
 use orchidyoke_core::interface::Micros;
 use orchidyoke_journal::Journal;
@@ -29,6 +30,7 @@
 /// The resources with which effects are carried out.
 pub(crate) struct EffectRunner {
     pub(crate) clock: Clock,
+    pub(crate) config_source: Rc<ConfigSource>,
     pub(crate) journal: Journal,
     pub(crate) gateway: Rc<ClientGateway>,
     pub(crate) console: Rc<ConsoleGateway>,
@@ -69,6 +71,7 @@
                 spawn_local(notifications::post(address, notifications, self.inputs.clone()));
             }
             Effect::StartWatch { watch, source } => self.start_watch(watch, source),
+            Effect::ReloadConfig => self.reload_config(),
             Effect::Log { line } => log!("{line}"),
             Effect::RemoveJournal { generation } => self.other_journals.remove(generation),
             Effect::HandOffClients => self.hand_off_clients(),
@@ -116,6 +119,11 @@
         spawn_local(self.peers.clone().offer(offer, times, self.inputs.clone()));
     }
 
+    fn reload_config(&self) {
+        let (source, inputs) = (self.config_source.clone(), self.inputs.clone());
+        spawn_local(async move { reload::reload(&source, &inputs).await });
+    }
+
     fn hand_off_clients(&mut self) {
         self.listener.take().iter().for_each(AbortHandle::abort);
         self.other_journals.hand_off();
--- a/crates/forwarder/src/input.rs
+++ b/crates/forwarder/src/input.rs
@@ -329,6 +329,8 @@
         /// What the watch follows.
         source: WatchSource,
     },
+    /// Read the configuration again, as at SIGHUP.
+    ReloadConfig,
     /// Write a line to the log.
     Log {
         /// The line.
--- a/crates/forwarder/src/reducer/endpoint_discovery.rs
+++ b/crates/forwarder/src/reducer/endpoint_discovery.rs
@@ -12,6 +12,7 @@
 use crate::retry_after;
 use orchidyoke_core::endpoint_list::{EndpointList, MAX_ENTRIES, WatchEvent};
 use orchidyoke_core::interface::{ListEventKind, Micros, Settings};
+use orchidyoke_journal::Record;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -51,6 +52,8 @@
 #[derive(Debug)]
 pub(super) struct EndpointDiscovery {
     address: SocketAddr,
+    /// The address from the command line and the one in the configuration file.
+    configured: DiscoveryAddress,
     /// The address given on the command line that a reload has superseded by the address in the configuration file;
     /// `None` if there is none.
     superseded: Option<SocketAddr>,
@@ -87,6 +90,7 @@
         let watch_at = now + backoff.random_below(first_watch_delay(settings));
         EndpointDiscovery {
             address: discovery.at_startup(recovered_superseded),
+            configured: *discovery,
             // If another address has been given since then, that address applies and the record does not.
             superseded: recovered_superseded.filter(|address| discovery.from_command_line == Some(*address)),
             catalogue,
@@ -136,27 +140,49 @@
         self.superseded = Some(given);
     }
 
+    /// Returns whether the address from the command line is this one and counts although it is superseded.
+    pub fn is_superseded_by(&self, superseded: SocketAddr) -> bool {
+        self.configured.from_command_line == Some(superseded) && self.superseded != Some(superseded)
+    }
+
+    /// Uses the address in the configuration file from now on, because a reload in another process has superseded the
+    /// address from the command line.
+    fn adopt_superseded(&mut self, now: Micros, given: SocketAddr) {
+        self.superseded = Some(given);
+        if self.catalogue.is_none() && self.address != self.configured.configured {
+            self.restart_watch(now);
+        }
+        self.address = self.configured.configured;
+    }
+
+    /// Starts the watch of another source.
+    fn restart_watch(&mut self, now: Micros) {
+        self.watching = false;
+        self.watch_at = now;
+        // The failures belong to the previous source, and the new one may count its versions independently.
+        self.backoff.reset();
+        self.newest_version = 0;
+        self.regressed_watch = None;
+    }
+
     /// Applies a new configuration. If the source is another one, its watch starts immediately.
     pub fn reload(
         &mut self,
         now: Micros,
-        address: SocketAddr,
+        configured: DiscoveryAddress,
         catalogue: Option<Rc<dyn Catalogue>>,
         settings: &Settings,
     ) {
         let catalogue_id = |catalogue: &Option<Rc<dyn Catalogue>>| {
             catalogue.as_ref().map(|catalogue| catalogue.id().to_owned())
         };
+        let address = configured.configured;
         let other_catalogue = catalogue_id(&self.catalogue) != catalogue_id(&catalogue);
         if other_catalogue || catalogue.is_none() && self.address != address {
-            self.watching = false;
-            self.watch_at = now;
-            // The failures belong to the previous source, and the new one may count its versions independently.
-            self.backoff.reset();
-            self.newest_version = 0;
-            self.regressed_watch = None;
+            self.restart_watch(now);
         }
         self.address = address;
+        self.configured = configured;
         self.catalogue = catalogue;
         self.backoff.set_first(first_backoff(settings));
     }
@@ -251,6 +277,23 @@
         self.effects.extend(next);
     }
 
+    /// Adopts the address of discovery from the configuration file if a reload in another process has superseded the
+    /// address from the command line. The record keeps that over a restart, because the other process's file is removed.
+    pub(super) fn adopt_superseded_discovery(&mut self, now: Micros, given: SocketAddr) {
+        if !self.discovery.is_superseded_by(given) {
+            return;
+        }
+        self.append_record(&Record::DiscoverySuperseded { discovery: given });
+        self.discovery.adopt_superseded(now, given);
+        self.log(format!(
+            "endpoint list: another process has read the configuration again discovery={}",
+            self.discovery.address()
+        ));
+        self.final_answers.post_now(now);
+        // The configuration may have changed since this process read it.
+        self.effects.push(Effect::ReloadConfig);
+    }
+
     /// Handles the end of a watch. `reason` is written to the log.
     pub(super) fn on_watch_ended(&mut self, now: Micros, reason: &str, retry_after_ms: u64, silence: Micros) {
         self.log(format!("endpoint list: watch ended, the last list stays in use reason={reason:?}"));
--- a/crates/forwarder/src/reducer/reload.rs
+++ b/crates/forwarder/src/reducer/reload.rs
@@ -24,7 +24,7 @@
         if self.discovery.address() != discovery.configured {
             self.final_answers.post_now(now);
         }
-        self.discovery.reload(now, discovery.configured, catalogue, &settings);
+        self.discovery.reload(now, discovery, catalogue, &settings);
         let bounds = Bounds::new(&settings, limits);
         self.pool.set_limits(settings.idle_timeout, bounds.connections);
         self.durability.set_limit_bytes(bounds.disk_bytes);
--- a/crates/forwarder/src/reducer/upgrade.rs
+++ b/crates/forwarder/src/reducer/upgrade.rs
@@ -94,6 +94,7 @@
         changes
     }
 
+    /// Applies new records. Who else learns of each kind of record stands in `docs/upgrade.md`.
     fn apply(&mut self, records: RecordsWithBodies) -> SharedChanges {
         let mut changes = SharedChanges::default();
         for (record, body) in records {
@@ -106,7 +107,23 @@
                     changes.retry_after.push((RouteKey::new(*destination, endpoint.clone()), *until));
                 }
                 Record::EndpointList(_) => changes.is_list_changed = true,
-                _ => {}
+                // Read from the state: after each update, at the hand-off, and at the takeover.
+                Record::DiscoverySuperseded { .. }
+                | Record::ProcessStage { .. }
+                | Record::FaultyRoutes { .. } => {}
+                // Taken over with their message.
+                Record::Accepted(_)
+                | Record::AttemptStarted { .. }
+                | Record::AttemptInDoubt { .. }
+                | Record::AttemptNotDelivered { .. }
+                | Record::AttemptNotSent { .. }
+                | Record::AnswerDecided { .. }
+                | Record::Finished { .. }
+                | Record::HandoverOffered { .. }
+                | Record::HandoverDeclined { .. }
+                | Record::HandoverInDoubt { .. }
+                | Record::KeptLocal { .. }
+                | Record::HandedOver { .. } => {}
             }
             self.state.apply(record, body);
         }
@@ -265,7 +282,7 @@
         removed: &[Generation],
     ) {
         if self.upgrade.has_handed_off() {
-            return self.read_after_hand_off(updates, removed);
+            return self.read_after_hand_off(now, updates, removed);
         }
         let older_began_attempts = self.upgrade.older_process_begins_attempts();
         self.upgrade.others.retain(|generation, _| !removed.contains(generation));
@@ -295,10 +312,13 @@
 
     /// Applies the changes in the files of other processes after the hand-off. This process only needs to know which
     /// messages they have accepted, and how much space they use.
-    fn read_after_hand_off(&mut self, updates: Vec<OtherProcessUpdate>, removed: &[Generation]) {
+    fn read_after_hand_off(&mut self, now: Micros, updates: Vec<OtherProcessUpdate>, removed: &[Generation]) {
         self.upgrade.others.retain(|generation, _| !removed.contains(generation));
         for update in updates {
-            self.upgrade.others.entry(update.generation).or_default().update(update);
+            let generation = update.generation;
+            self.upgrade.others.entry(generation).or_default().update(update);
+            // The notifications that are left go to the address in force.
+            self.adopt_superseded_discovery_of(now, generation);
         }
         self.update_own_share();
     }
@@ -322,9 +342,17 @@
             // process's file.
             self.append_all(&self.running_retry_afters(now), None);
         }
+        self.adopt_superseded_discovery_of(now, generation);
         self.adopt_newer_list(now, generation);
     }
 
+    fn adopt_superseded_discovery_of(&mut self, now: Micros, generation: Generation) {
+        let other = self.upgrade.other(generation);
+        if let Some(superseded) = other.and_then(|other| other.state.superseded_discovery) {
+            self.adopt_superseded_discovery(now, superseded);
+        }
+    }
+
     /// Applies the operators' overrides that another process received.
     fn adopt_overrides(&mut self, now: Micros, mut overrides: Vec<(String, OverrideChange)>) {
         overrides.retain(|(uid, change)| self.operator_overrides.is_change(uid, *change));
--- a/crates/forwarder/src/reload.rs
+++ b/crates/forwarder/src/reload.rs
@@ -165,11 +165,16 @@
     /// description.
     pub async fn report(mut self, source: Rc<ConfigSource>, inputs: UnboundedSender<Input>) {
         while self.0.recv().await.is_some() {
-            match source.load().await {
-                // The channel is closed only when the forwarder ends.
-                Ok(config) => drop(inputs.send(Input::ConfigReloaded(Box::new(config)))),
-                Err(error) => log!("configuration: reload failed, the old one stays in use: {error}"),
-            }
+            reload(&source, &inputs).await;
         }
     }
 }
+
+/// Reads the configuration again and sends it to the reducer if it is valid; see the module's description.
+pub(crate) async fn reload(source: &ConfigSource, inputs: &UnboundedSender<Input>) {
+    match source.load().await {
+        // The channel is closed only when the forwarder ends.
+        Ok(config) => drop(inputs.send(Input::ConfigReloaded(Box::new(config)))),
+        Err(error) => log!("configuration: reload failed, the old one stays in use: {error}"),
+    }
+}
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -106,7 +106,7 @@
     let listen = config.listen;
     let console = config.console;
     let (inputs, mut received) = unbounded_channel();
-    let (mut runner, mut reducer) = open(config, state, inherited.is_some(), inputs.clone())?;
+    let (mut runner, mut reducer) = open(config, source.clone(), state, inherited.is_some(), inputs.clone())?;
     if let Some(policy) = &policy {
         runner.process(&mut reducer, Input::PolicyStatus(policy.status()));
     }
@@ -137,6 +137,7 @@
 /// Opens the journal and restores the reducer from it. With `expects_others`, other processes may start on the folder.
 fn open(
     config: Config,
+    config_source: Rc<ConfigSource>,
     state: &Path,
     expects_others: bool,
     inputs: UnboundedSender<Input>,
@@ -156,6 +157,7 @@
     let reducer = Reducer::new(config, generation, records, size, clock.now());
     let runner = EffectRunner {
         clock,
+        config_source,
         journal,
         gateway: ClientGateway::with_reservations(inputs.clone(), reservations),
         console: ConsoleGateway::new(inputs.clone()),
--- a/crates/forwarder/tests/common/processes.rs
+++ b/crates/forwarder/tests/common/processes.rs
@@ -341,7 +341,7 @@
                 };
                 return self.sends_whole_lists.then_some(Input::WatchEvent { watch, event });
             }
-            Effect::Log { .. } | Effect::StopAccepting | Effect::Exit => {}
+            Effect::Log { .. } | Effect::ReloadConfig | Effect::StopAccepting | Effect::Exit => {}
         }
         None
     }
--- a/crates/forwarder/tests/common/world.rs
+++ b/crates/forwarder/tests/common/world.rs
@@ -299,7 +299,10 @@
                 return (self.shape == Shape::Second).then_some(Input::WatchEvent { watch, event: update });
             }
             Effect::Log { .. } => {}
-            Effect::RemoveJournal { .. } | Effect::HandOffClients | Effect::ReportJournalFull { .. } => {
+            Effect::RemoveJournal { .. }
+            | Effect::HandOffClients
+            | Effect::ReportJournalFull { .. }
+            | Effect::ReloadConfig => {
                 unreachable!("there is no other process in these tests")
             }
             Effect::StopAccepting => assert!(!std::mem::replace(&mut self.stopped_accepting, true)),
--- a/crates/forwarder/tests/reducer_restarts.rs
+++ b/crates/forwarder/tests/reducer_restarts.rs
@@ -11,7 +11,7 @@
 use orchidyoke_core::interface::Micros;
 use orchidyoke_forwarder::catalogue::Catalogue;
 use orchidyoke_forwarder::config::Config;
-use orchidyoke_forwarder::input::{Effect, Input, Submission, WatchSource};
+use orchidyoke_forwarder::input::{Effect, Input, OtherProcessUpdate, Submission, WatchSource};
 use orchidyoke_forwarder::ownership::ReceivedMark;
 use orchidyoke_forwarder::reducer::Reducer;
 use orchidyoke_journal::{FinalAnswer, Record, replay};
@@ -114,6 +114,70 @@
     assert_eq!(watched_port(&mut file, config(4, new), None), 5);
 }
 
+// Guards against a successor that goes back to the address from the command line, which a reload in the predecessor has
+// superseded, so that its watch and its notifications reach nobody. Also guards against one that forgets the reload
+// with the predecessor's file, and against one that ignores a newer address on the command line.
+#[test]
+fn successor_keeps_the_discovery_that_its_predecessor_has_reloaded() {
+    let config = |given: &str| {
+        let text = common::config("127.0.0.1:1", "127.0.0.1:3", common::endpoint_entries());
+        Config::read(&text, None, Some(given)).expect("the configuration is valid")
+    };
+    let superseded = Record::DiscoverySuperseded { discovery: "127.0.0.1:2".parse().expect("an address") };
+    let update = |records: Vec<Record>| Input::OtherProcessesUpdated {
+        updates: vec![OtherProcessUpdate {
+            generation: 0,
+            rewritten: false,
+            records: records.into_iter().map(|record| (record, Bytes::new())).collect(),
+            size: 100,
+            ended: false,
+        }],
+        removed: Vec::new(),
+    };
+    let owed = Record::AnswerDecided { message: "m".to_owned(), at: START, answer: FinalAnswer::Failed };
+    for (given, reloads_at_start, expected_port) in
+        [("127.0.0.1:2", true, 3), ("127.0.0.1:2", false, 3), ("127.0.0.1:5", true, 5)]
+    {
+        let answers = vec![(owed.clone(), Bytes::new())];
+        let mut successor = Reducer::new(config(given), 1, answers, 0, START);
+        let (mut file, mut watched, mut posted_to, mut reloads) = (Vec::new(), 0, 0, 0);
+        let inputs = if reloads_at_start {
+            vec![update(vec![superseded.clone()]), Input::TimerDue]
+        } else {
+            vec![
+                update(Vec::new()),
+                Input::TimerDue,
+                Input::NotificationsPosted { accepted: false },
+                update(vec![superseded.clone()]),
+            ]
+        };
+        for effect in inputs.into_iter().flat_map(|input| successor.step(START, input)) {
+            match effect {
+                Effect::Append { bytes, .. } => file.extend_from_slice(&bytes),
+                Effect::StartWatch { source, .. } => watched = watch_source(&source).0,
+                Effect::PostNotifications { address, .. } => posted_to = address.port(),
+                Effect::ReloadConfig => reloads += 1,
+                _ => {}
+            }
+        }
+        let case = format!("given={given} reloads_at_start={reloads_at_start}");
+        assert_eq!((watched, posted_to), (expected_port, expected_port), "{case}");
+        assert_eq!(
+            reloads,
+            u32::from(expected_port == 3),
+            "the file may be newer than what was read: {case}"
+        );
+        // The next process has the successor's file alone.
+        let (records, complete_bytes) = replay(Bytes::copy_from_slice(&file));
+        let mut next = Reducer::new(config(given), 1, records, complete_bytes, START);
+        let watched = next.step(START, Input::TimerDue).into_iter().find_map(|effect| match effect {
+            Effect::StartWatch { source, .. } => Some(watch_source(&source).0),
+            _ => None,
+        });
+        assert_eq!(watched, Some(expected_port), "{case}");
+    }
+}
+
 // Guards against a restart that replaces the last list of a catalogue by the configuration's list.
 #[test]
 fn restart_keeps_the_last_catalogue_list() {
