Test a failed append whose record a compaction of the same step has written

Cause: the path had no test; a message that was rejected because its append failed would be delivered after a restart if the compaction of that step kept its record.

Change: rejected_message_of_a_failed_append_is_not_in_the_compacted_file fails appends before a compaction, in memory.

Measured: it passes; with the second compaction in Reducer::revoke_append left out, on a scratch change, it fails ("m174-1 was rejected").

--- a/crates/forwarder/tests/compaction.rs
+++ b/crates/forwarder/tests/compaction.rs
@@ -3,11 +3,14 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::SECOND;
 use common::shape::Shape;
 use common::world::World;
-use orchidyoke_forwarder::input::Input;
+use orchidyoke_forwarder::input::{Effect, Input};
+use orchidyoke_journal::{Record, replay};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::VecDeque;
 
 /// What happens at one moment, before the next round of the controller.
 #[derive(Clone, Debug)]
@@ -104,3 +107,57 @@
     }
     assert!(compactions > 10, "{compactions} compactions");
 }
+
+/// Passes an input to the reducer of a world. Appends before a compaction in the same step fail, as if the folder could
+/// not be written for a moment. Returns whether there was such a compaction.
+fn input_with_failing_appends(world: &mut World, input: Input) -> bool {
+    let mut has_failed = false;
+    let mut inputs = VecDeque::from([input]);
+    while let Some(input) = inputs.pop_front() {
+        let effects = world.reducer.step(world.now, input);
+        let is_compaction = |effect: &Effect| matches!(effect, Effect::CompactJournal { .. });
+        let compaction_at = effects.iter().position(is_compaction).unwrap_or_default();
+        for (index, effect) in effects.into_iter().enumerate() {
+            match effect {
+                Effect::Append { append, .. } if index < compaction_at => {
+                    has_failed = true;
+                    inputs.push_back(Input::Appended { append, stored: false, size: world.file.len() });
+                }
+                Effect::CompactJournal { bytes } => world.file = bytes.to_vec(),
+                other => inputs.extend(world.carry_out(other)),
+            }
+        }
+    }
+    has_failed
+}
+
+// Guards against a message that is rejected because its record could not be appended, and that a restart delivers
+// nevertheless, because a compaction in the same step wrote the record.
+#[test]
+fn rejected_message_of_a_failed_append_is_not_in_the_compacted_file() {
+    let mut failures = 0;
+    for size in (20..900).step_by(40) {
+        let mut world = World::new();
+        for number in 0..400 {
+            for dest in 1..=3 {
+                world.submit(format!("m{number}-{dest}"), true, dest, size);
+            }
+            world.now += 10_000;
+            let has_failed = input_with_failing_appends(&mut world, Input::TimerDue);
+            if has_failed {
+                failures += 1;
+                for (record, _) in replay(Bytes::copy_from_slice(&world.file)).0 {
+                    if let Record::Accepted(accepted) = record {
+                        assert!(world.messages[&accepted.id].accepted, "{} was rejected", accepted.id);
+                    }
+                }
+                break;
+            }
+            connect_all(&mut world);
+            while world.pick_connection(0, |connection| connection.call.is_some()).is_some() {
+                world.answer(0, 0);
+            }
+        }
+    }
+    assert!(failures > 3, "{failures} failures");
+}
