Accept no message while other processes' files cannot be read

Cause: a system call that fails while the folder or another process's file is read, before messages are accepted, was logged and the messages were accepted, so that the other process's messages could be missed. Errors of the new locks were logged at each request. The two descriptors of the locks were not among the reserved ones.

Change: a round whose look at the other files failed rejects its messages (503), as one without the folder's lock does. Errors of the locks are logged once in a row.

Measured: message_is_rejected_while_the_other_process_cannot_be_read, the test of descriptors and the process tests pass. The failing system calls themselves have no test.

--- a/crates/forwarder/src/admission_lock.rs
+++ b/crates/forwarder/src/admission_lock.rs
@@ -43,18 +43,28 @@
         let acquired = loop {
             match self.lock.try_acquire() {
                 Ok(None) if Instant::now() < deadline => thread::sleep(RETRY_INTERVAL),
-                Ok(None) => {
-                    log!("other process: does not release the folder's lock");
-                    break None;
-                }
-                Ok(guard) => break guard,
-                Err(error) => {
-                    log!("other process: cannot lock the folder: error={error}");
-                    break None;
-                }
+                Ok(guard) => break Ok(guard),
+                Err(error) => break Err(error),
             }
         };
-        self.is_overdue.set(acquired.is_none());
-        acquired
+        let guard = match acquired {
+            Ok(guard) => guard,
+            Err(error) => {
+                self.log_once(format!("other process: cannot lock the folder: error={error}"));
+                None
+            }
+        };
+        if guard.is_none() {
+            self.log_once("other process: does not release the folder's lock".to_owned());
+        }
+        self.is_overdue.set(guard.is_none());
+        guard
+    }
+
+    /// Logs a failure unless the last attempt failed too.
+    fn log_once(&self, line: String) {
+        if !self.is_overdue.replace(true) {
+            log!("{line}");
+        }
     }
 }
--- a/crates/forwarder/src/client_api/reading_order.rs
+++ b/crates/forwarder/src/client_api/reading_order.rs
@@ -8,7 +8,7 @@
 
 use crate::log;
 use orchidyoke_journal::{IdReservation, IdReservations};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,6 +28,8 @@
     locks: RefCell<HashMap<String, Arc<Mutex<()>>>>,
     /// The ids reserved among the processes of the folder; `None` if no other process can read requests.
     reservations: Option<Rc<IdReservations>>,
+    /// Whether an error of a reservation was logged. Only the first one is.
+    has_logged_error: Cell<bool>,
 }
 
 impl ReadingOrder {
@@ -96,7 +98,9 @@
             Ok(reservation) => self.reservation = reservation,
             Err(error) => {
                 // No two processes accept the id, but which of them does is left to chance.
-                log!("cannot reserve an id among the processes: error={error}");
+                if !self.order.has_logged_error.replace(true) {
+                    log!("cannot reserve an id among the processes: error={error}");
+                }
                 return true;
             }
         }
--- a/crates/forwarder/src/config.rs
+++ b/crates/forwarder/src/config.rs
@@ -17,8 +17,9 @@
 use thiserror::Error;
 
 /// Descriptors that are reserved for uses other than connections: standard streams, the runtime, the journal and its
-/// compaction, listeners, other processes' journals, two watches on the endpoint list, notifications.
-const RESERVED_DESCRIPTORS: usize = 16;
+/// compaction, the locks shared with other processes, their journals, listeners, two watches on the endpoint list,
+/// notifications.
+const RESERVED_DESCRIPTORS: usize = 18;
 /// Number of client connections that are accepted however low the limit on descriptors is.
 const MIN_CLIENT_CONNECTIONS: usize = 8;
 /// The lowest limit on descriptors that the forwarder accepts.
--- a/crates/forwarder/src/effects.rs
+++ b/crates/forwarder/src/effects.rs
@@ -12,7 +12,7 @@
 use crate::input::{AppendId, Effect, Input, WatchId, WatchSource, update_sender};
 use crate::log;
 use crate::notifications;
-use crate::other_journals::OtherJournals;
+use crate::other_journals::{AdmissionPoll, OtherJournals};
 use crate::ownership::OutgoingOffer;
 use crate::peer_call::{OfferTimes, PeerConnections};
 use crate::reducer::Reducer;
@@ -182,8 +182,9 @@
     fn admit_messages(&mut self, reducer: &mut Reducer) {
         let lock = self.admission_lock.clone();
         let guard = lock.acquire();
-        let mut inputs = VecDeque::from_iter(self.other_journals.scan_and_poll());
-        if guard.is_none() {
+        let AdmissionPoll { changes, is_complete } = self.other_journals.poll_for_admission();
+        let mut inputs = VecDeque::from_iter(changes);
+        if guard.is_none() || !is_complete {
             inputs.push_back(Input::AdmissionBlocked);
         }
         inputs.push_back(Input::TimerDue);
--- a/crates/forwarder/src/input.rs
+++ b/crates/forwarder/src/input.rs
@@ -120,7 +120,7 @@
         /// `true` if it connected, `false` if it disconnected.
         connected: bool,
     },
-    /// No message may be accepted now, because another process that accepts messages on the folder does not respond.
+    /// No message may be accepted now, because it cannot be found out what other processes on the folder have accepted.
     AdmissionBlocked,
     /// The process now accepts connections of clients.
     AcceptingClients,
--- a/crates/forwarder/src/other_journals.rs
+++ b/crates/forwarder/src/other_journals.rs
@@ -5,7 +5,7 @@
 
 use crate::input::{Input, OtherProcessUpdate};
 use crate::log;
-use orchidyoke_journal::{Generation, OtherJournal, find_other_journals};
+use orchidyoke_journal::{Generation, JournalError, OtherJournal, find_other_journals};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -33,11 +33,21 @@
 /// The result of polling one journal.
 enum PollResult {
     Unchanged,
+    /// The system could not read the journal.
+    Unreadable,
     Changed(OtherProcessUpdate),
     /// The journal has been removed.
     Removed,
 }
 
+/// The result of [`OtherJournals::poll_for_admission`].
+pub struct AdmissionPoll {
+    /// The changes as an input; `None` if there are none.
+    pub changes: Option<Input>,
+    /// Whether everything was read. If `false`, it is not known what other processes have accepted.
+    pub is_complete: bool,
+}
+
 /// The journals of all other processes on the folder.
 pub struct OtherJournals {
     folder: PathBuf,
@@ -50,6 +60,8 @@
     next_poll: Instant,
     /// Whether this process may take over the files of ended processes.
     takes_over: bool,
+    /// Whether the folder or a journal could not be read since the last scan.
+    is_unreadable: bool,
 }
 
 impl OtherJournals {
@@ -64,6 +76,7 @@
             next_scan: now,
             next_poll: now,
             takes_over: true,
+            is_unreadable: false,
         }
     }
 
@@ -101,14 +114,23 @@
         self.poll()
     }
 
+    /// Scans and polls at once, for a process that is about to accept messages.
+    pub fn poll_for_admission(&mut self) -> AdmissionPoll {
+        self.scan();
+        let changes = self.poll();
+        AdmissionPoll { changes, is_complete: !self.is_unreadable }
+    }
+
     /// Polls the known journals at once. Returns the changes as an input; `None` if there are none.
     pub fn poll(&mut self) -> Option<Input> {
         self.next_poll = Instant::now() + POLL_INTERVAL;
         let mut updates = Vec::new();
         let mut removed = Vec::new();
+        let mut is_unreadable = false;
         self.known.retain_mut(|known| {
             match poll_journal(known) {
                 PollResult::Unchanged => {}
+                PollResult::Unreadable => is_unreadable = true,
                 PollResult::Changed(update) => updates.push(update),
                 PollResult::Removed => {
                     removed.push(known.journal.generation());
@@ -117,6 +139,7 @@
             }
             true
         });
+        self.is_unreadable |= is_unreadable;
         let has_changes = !updates.is_empty() || !removed.is_empty();
         has_changes.then_some(Input::OtherProcessesUpdated { updates, removed })
     }
@@ -128,6 +151,7 @@
         };
         match find_other_journals(&self.folder, is_known) {
             Ok(found) => {
+                self.is_unreadable = false;
                 for mut journal in found {
                     if !self.takes_over {
                         journal.stop_locking();
@@ -137,6 +161,7 @@
                 }
             }
             Err(error) => {
+                self.is_unreadable = true;
                 log!("other process: cannot scan the folder: path={} error={error}", self.folder.display());
             }
         }
@@ -170,12 +195,13 @@
         Ok(Some(read)) => read,
         Ok(None) => return PollResult::Removed,
         Err(error) => {
+            let is_unreadable = matches!(error, JournalError::Io { .. });
             let error = error.to_string();
             if known.error.as_ref() != Some(&error) {
                 log!("other process: cannot read its journal: generation={generation} error={error}");
             }
             known.error = Some(error);
-            return PollResult::Unchanged;
+            return if is_unreadable { PollResult::Unreadable } else { PollResult::Unchanged };
         }
     };
     // An ended process is reported until its journal is removed, because this process may have had no room for its
--- a/crates/forwarder/tests/descriptors.rs
+++ b/crates/forwarder/tests/descriptors.rs
@@ -21,8 +21,8 @@
                     "{descriptors} descriptors, {calls} calls"
                 );
                 // Standard streams, the runtime, the journal and its compaction, listeners, the watch and the next
-                // watch, notifications.
-                let reserved = 3 + 3 + 2 + 2 + 2 + 1;
+                // watch, notifications, the folder and `ids.lock`, and another process's journal with its lock.
+                let reserved = 3 + 3 + 2 + 2 + 2 + 1 + 2 + 2;
                 assert!(
                     endpoint_connections + client_connections + console_connections + reserved <= descriptors,
                     "{descriptors} descriptors, {calls} calls: {endpoint_connections}, {client_connections}"
--- a/crates/forwarder/tests/upgrade.rs
+++ b/crates/forwarder/tests/upgrade.rs
@@ -182,6 +182,23 @@
     }
 }
 
+// Guards against a message that is accepted although it cannot be found out what the other process has accepted, and
+// against one that is left without an answer then.
+#[test]
+fn message_is_rejected_while_the_other_process_cannot_be_read() {
+    let mut world = Processes::new();
+    world.start();
+    world.submit(0, "blocked".to_owned(), true, 2, 10);
+    world.input(0, Input::AdmissionBlocked);
+    world.wait(SECOND / 20);
+    let answers: Vec<_> = world.answers.iter().map(|(_, _, answer)| *answer).collect();
+    assert!(matches!(answers[..], [SubmitAnswer::Rejected(_)]), "{answers:?}");
+    world.submit(0, "blocked".to_owned(), true, 2, 10);
+    world.wait(SECOND / 20);
+    assert_eq!(world.answers.last().map(|(_, _, answer)| *answer), Some(SubmitAnswer::Accepted));
+    world.finish();
+}
+
 // Guards against a message that the successor takes for one that the predecessor has delivered, because it has the same
 // id and the predecessor's journal was compacted at the hand-off.
 #[test]
