Notice other processes by a count of starts, and reserve ids of arriving requests only

Cause: each round that accepts messages scanned the folder, and each request reserved its id among the processes, also while no other process ran.

Change: a process counts its start in ids.lock before it accepts anything, and the folder is scanned when the count has changed. An id is reserved if its request takes more than 1 ms to arrive, or if another process is known.

--- a/crates/forwarder/src/client_api.rs
+++ b/crates/forwarder/src/client_api.rs
@@ -19,6 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::ops::RangeInclusive;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -27,6 +28,8 @@
 
 /// Largest body that the protocol allows, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
+/// Time from a request's head after which its id is reserved among the processes, because its body is still arriving.
+const RESERVE_AFTER: Duration = Duration::from_millis(1);
 /// Longest id, tenant or other header value that is accepted, in bytes.
 const MAX_FIELD_BYTES: usize = 256;
 /// Accepted time left to deliver a message, in seconds. No class allows as much as a day.
@@ -184,8 +187,15 @@
     let (parts, body) = request.into_parts();
     let class = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let mut message = parse_head(class, &parts.headers)?;
-    let turn = gateway.reading_order.register(&message.id);
-    message.body = read_body(body).await?;
+    let mut turn = gateway.reading_order.register(&message.id);
+    let mut reading = pin!(read_body(body));
+    message.body = match timeout(RESERVE_AFTER, reading.as_mut()).await {
+        Ok(body) => body?,
+        Err(_) => {
+            turn.reserve_while_arriving();
+            reading.await?
+        }
+    };
     // The time left counts from the start of the request, not from the end of its body.
     message.time_left -= received_at.elapsed().as_micros() as Micros;
     Ok((message, turn))
--- a/crates/forwarder/src/client_api/reading_order.rs
+++ b/crates/forwarder/src/client_api/reading_order.rs
@@ -4,7 +4,8 @@
 //! id until it is submitted or gone. A later one waits for that, but only for as long as its client waits too.
 //!
 //! Other processes on the folder read requests as well during an upgrade. So the first request of this process also
-//! reserves its id among the processes, until it is answered.
+//! reserves its id among the processes, until it is answered. A request that arrives at once while no other process is
+//! known needs no reservation: whichever process appends its message first has the id.
 
 use crate::log;
 use orchidyoke_journal::{IdReservation, IdReservations};
@@ -42,11 +43,7 @@
     pub fn register(self: &Rc<Self>, id: &str) -> Turn {
         let lock = self.locks.borrow_mut().entry(id.to_owned()).or_default().clone();
         let held = lock.clone().try_lock_owned().ok();
-        let mut turn = Turn { order: self.clone(), id: id.to_owned(), lock, held, reservation: None };
-        if turn.held.is_some() {
-            turn.reserve();
-        }
-        turn
+        Turn { order: self.clone(), id: id.to_owned(), lock, held, reservation: None }
     }
 }
 
@@ -68,12 +65,23 @@
     ///
     /// An earlier request is still being read after [`MAX_WAIT`].
     pub async fn wait(&mut self) -> Result<(), Elapsed> {
-        if self.held.is_some() && self.reserve() {
+        if self.held.is_some() && (!self.has_other_processes() || self.reserve()) {
             return Ok(());
         }
         timeout(MAX_WAIT, self.acquire()).await
     }
 
+    /// Reserves the id for a request whose body is still arriving, if it is the first with this id.
+    pub fn reserve_while_arriving(&mut self) {
+        if self.held.is_some() {
+            self.reserve();
+        }
+    }
+
+    fn has_other_processes(&self) -> bool {
+        self.order.reservations.as_ref().is_some_and(|reservations| reservations.has_other_processes())
+    }
+
     /// Takes the reservation of the id among the processes, to be dropped when the request is answered.
     pub fn take_reservation(&mut self) -> Option<IdReservation> {
         self.reservation.take()
@@ -83,7 +91,7 @@
         if self.held.is_none() {
             self.held = Some(self.lock.clone().lock_owned().await);
         }
-        while !self.reserve() {
+        while self.has_other_processes() && !self.reserve() {
             sleep(RESERVE_INTERVAL).await;
         }
     }
--- a/crates/forwarder/src/other_journals.rs
+++ b/crates/forwarder/src/other_journals.rs
@@ -5,8 +5,9 @@
 
 use crate::input::{Input, OtherProcessUpdate};
 use crate::log;
-use orchidyoke_journal::{Generation, JournalError, OtherJournal, find_other_journals};
+use orchidyoke_journal::{Generation, IdReservations, JournalError, OtherJournal, find_other_journals};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -62,21 +63,32 @@
     takes_over: bool,
     /// Whether the folder or a journal could not be read since the last scan.
     is_unreadable: bool,
+    /// Where starts of processes are counted; `None` if no other process can start.
+    starts: Option<Rc<IdReservations>>,
+    /// The number of starts before the last scan that found all journals; `None` if it is not known.
+    starts_at_scan: Option<u64>,
 }
 
 impl OtherJournals {
-    /// Returns the journals in `found`. With `expects_others`, the folder is scanned for further ones.
-    pub fn new(folder: &Path, own: Generation, found: Vec<OtherJournal>, expects_others: bool) -> Self {
+    /// Returns the journals in `found`. With `starts`, the folder is scanned for further ones.
+    pub fn new(
+        folder: &Path,
+        own: Generation,
+        found: Vec<OtherJournal>,
+        starts: Option<Rc<IdReservations>>,
+    ) -> Self {
         let now = Instant::now();
         OtherJournals {
             folder: folder.to_owned(),
             own,
             known: found.into_iter().map(KnownJournal::new).collect(),
-            expects_others,
+            expects_others: starts.is_some(),
             next_scan: now,
             next_poll: now,
             takes_over: true,
             is_unreadable: false,
+            starts,
+            starts_at_scan: None,
         }
     }
 
@@ -116,7 +128,12 @@
 
     /// Scans and polls at once, for a process that is about to accept messages.
     pub fn poll_for_admission(&mut self) -> AdmissionPoll {
-        self.scan();
+        // A process counts its start before it accepts a message, so without a new start there is no new journal.
+        let starts = self.starts.as_ref().and_then(|starts| starts.starts().ok());
+        if starts.is_none() || starts != self.starts_at_scan || self.is_unreadable {
+            self.scan();
+            self.starts_at_scan = starts.filter(|_| !self.is_unreadable);
+        }
         let changes = self.poll();
         AdmissionPoll { changes, is_complete: !self.is_unreadable }
     }
@@ -140,6 +157,9 @@
             true
         });
         self.is_unreadable |= is_unreadable;
+        if let Some(starts) = &self.starts {
+            starts.set_has_other_processes(!self.known.is_empty());
+        }
         let has_changes = !updates.is_empty() || !removed.is_empty();
         has_changes.then_some(Input::OtherProcessesUpdated { updates, removed })
     }
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -154,18 +154,21 @@
     let admission_lock = AdmissionLock::open(state).map_err(journal_error)?;
     let reservations = expects_others.then(|| IdReservations::open(state)).transpose();
     let reservations = reservations.map_err(journal_error)?;
+    if let Some(reservations) = &reservations {
+        reservations.count_start().map_err(journal_error)?;
+    }
     let reducer = Reducer::new(config, generation, records, size, clock.now());
     let runner = EffectRunner {
         clock,
         config_source,
         journal,
-        gateway: ClientGateway::with_reservations(inputs.clone(), reservations),
+        gateway: ClientGateway::with_reservations(inputs.clone(), reservations.clone()),
         console: ConsoleGateway::new(inputs.clone()),
         endpoint_connections: HashMap::new(),
         peers: Rc::default(),
         inputs,
         client_connections: ClientConnections::new(max_clients),
-        other_journals: OtherJournals::new(state, generation, other_journals, expects_others),
+        other_journals: OtherJournals::new(state, generation, other_journals, reservations),
         admission_lock: Rc::new(admission_lock),
         watch: None,
         listener: None,
--- a/crates/journal/src/id_reservations.rs
+++ b/crates/journal/src/id_reservations.rs
@@ -1,26 +1,33 @@
 //! Reservations of message ids among the processes of a folder.
 //!
 //! A reservation is a lock on one byte of a file, which the id determines. The operating system releases it when its
-//! process ends in any way. The file has no content. Two ids with the same byte exclude each other, which is rare.
+//! process ends in any way. Two ids with the same byte exclude each other, which is rare.
+//!
+//! The length of the file counts the starts of processes, so that a process notices another one without reading the
+//! folder. The bytes themselves mean nothing.
 
 use crate::error::JournalError;
 use nix::errno::Errno;
 use nix::fcntl::{FcntlArg, fcntl};
 use nix::libc;
+use std::cell::Cell;
 use std::fs::{File, OpenOptions};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io;
+use std::io::{self, Write};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 const FILE_NAME: &str = "ids.lock";
+/// Number of starts after which the count begins again at 0, so that the file stays small.
+const MAX_STARTS: u64 = 256;
 
 /// The reservations of this process.
 #[derive(Debug)]
 pub struct IdReservations {
     path: PathBuf,
     file: File,
+    has_other_processes: Cell<bool>,
 }
 
 /// The reservation of one id. It is released when this value is dropped.
@@ -40,7 +47,40 @@
         let path = folder.join(FILE_NAME);
         let file = OpenOptions::new().create(true).append(true).open(&path);
         let file = file.map_err(JournalError::io("open", &path))?;
-        Ok(Rc::new(IdReservations { path, file }))
+        Ok(Rc::new(IdReservations { path, file, has_other_processes: Cell::new(false) }))
+    }
+
+    /// Counts the start of this process. To be called once its journal file exists, and before it accepts a message.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written.
+    pub fn count_start(&self) -> Result<(), JournalError> {
+        if self.starts()? >= MAX_STARTS {
+            self.file.set_len(0).map_err(JournalError::io("truncate", &self.path))?;
+        }
+        // Appends of several processes at a time all count.
+        (&self.file).write_all(&[0]).map_err(JournalError::io("append to", &self.path))
+    }
+
+    /// Returns the number of starts of processes on the folder, which begins again at times.
+    ///
+    /// # Errors
+    ///
+    /// The file's length cannot be read.
+    pub fn starts(&self) -> Result<u64, JournalError> {
+        let metadata = self.file.metadata().map_err(JournalError::io("read", &self.path))?;
+        Ok(metadata.len())
+    }
+
+    /// Returns whether another process is known to use the folder, and may hold reservations.
+    pub fn has_other_processes(&self) -> bool {
+        self.has_other_processes.get()
+    }
+
+    /// Sets whether another process is known to use the folder.
+    pub fn set_has_other_processes(&self, has_others: bool) {
+        self.has_other_processes.set(has_others);
     }
 
     /// Reserves an id. Returns `None` if another process has reserved it. Within one process, each request for an id is
--- a/crates/journal/src/id_reservations/tests.rs
+++ b/crates/journal/src/id_reservations/tests.rs
@@ -21,3 +21,19 @@
     assert!(reserve(&first, "a").is_some(), "the id of a process that has ended must be free");
     std::fs::remove_dir_all(&folder).expect("the folder is removed");
 }
+
+// Guards against a process that starts and that another one does not notice.
+#[test]
+fn each_start_changes_the_count() {
+    let folder = std::env::temp_dir().join(format!("orchidyoke-starts-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the folder is created");
+    let first = IdReservations::open(&folder).expect("it opens");
+    for start in 0..2 * MAX_STARTS {
+        let before = first.starts().expect("it can be read");
+        let other = IdReservations::open(&folder).expect("it opens");
+        other.count_start().expect("it can be written");
+        assert_ne!(first.starts().expect("it can be read"), before, "start {start}");
+        assert!(before <= MAX_STARTS);
+    }
+    std::fs::remove_dir_all(&folder).expect("the folder is removed");
+}
