Test the order of requests at two processes without depending on the scheduler

Cause: id_of_an_arriving_request_is_not_accepted_by_the_successor_for_another_client expected that the predecessor reads a first part before the successor gets a whole request. Nothing was lost then; the predecessor has no way to know of bytes that it has not read.

The order itself has a test of its own, request_waits_for_an_earlier_one_at_another_process, which waits for no scheduler.

--- a/crates/forwarder/src/client_api/reading_order/tests.rs
+++ b/crates/forwarder/src/client_api/reading_order/tests.rs
@@ -52,3 +52,32 @@
         assert_eq!(order.locks.borrow().len(), 1);
     });
 }
+
+// Guards against a whole request that another process accepts while an earlier one with its id is still arriving here.
+#[test]
+fn request_waits_for_an_earlier_one_at_another_process() {
+    run(async {
+        let folder = std::env::temp_dir().join(format!("orchidyoke-order-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("the folder is created");
+        let order = || {
+            let reservations = IdReservations::open(&folder).expect("it opens");
+            reservations.set_has_other_processes(true);
+            Rc::new(ReadingOrder::shared(Some(reservations)))
+        };
+        let (here, there) = (order(), order());
+        let mut earlier = here.register("a");
+        earlier.reserve_while_arriving();
+        let mut later = there.register("a");
+        assert!(later.wait().await.is_err(), "the earlier request is still arriving");
+        assert!(earlier.wait().await.is_ok(), "the earlier request does not wait");
+        let reservation = earlier.take_reservation();
+        drop(earlier);
+        {
+            let mut wait = pin!(later.wait());
+            assert!(poll_once(wait.as_mut()).is_pending(), "the earlier request is not answered yet");
+            drop(reservation);
+            assert!(wait.await.is_ok());
+        }
+        std::fs::remove_dir_all(&folder).expect("the folder is removed");
+    });
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -602,15 +602,21 @@
     let (successor, _) = start_beside(&folder, &listener);
     predecessor.signal("TERM");
     wait_for(&predecessor.log, "handed off to the successor");
-    // The client that begins first has the id, and the other one gets the error.
-    let whole = request("shared", "of the usual client");
+    // Which client is first depends on when the predecessor reads the first part. One of them is accepted, the other
+    // one gets the error, and what is accepted is delivered.
+    let (usual, other) = ("of the usual client", "of another client");
+    let whole = request("shared", usual);
     let (start, rest) = whole.split_at(whole.len() - 5);
     persistent.get_mut().write_all(start.as_bytes()).expect("bytes sent");
-    let answer = submit(&mut connect(), &request("shared", "of another client"));
-    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    let answer = submit(&mut persistent, rest);
-    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
-    assert!(wait_for(&calls, "x-txn: shared.").ends_with("of the usual client"));
+    let answers = [submit(&mut connect(), &request("shared", other)), submit(&mut persistent, rest)];
+    let accepted = answers.each_ref().map(|answer| answer.starts_with("HTTP/1.1 202"));
+    let rejected = answers.each_ref().map(|answer| answer.starts_with("HTTP/1.1 503"));
+    assert!(
+        accepted[0] == rejected[1] && accepted[1] == rejected[0] && accepted[0] != accepted[1],
+        "{answers:?}"
+    );
+    let delivered = if accepted[1] { usual } else { other };
+    assert!(wait_for(&calls, "x-txn: shared.").ends_with(delivered), "{answers:?}");
     assert!(predecessor.child.wait().expect("process exited").success());
     successor.kill();
     std::fs::remove_dir_all(&folder).expect("folder removed");
