--- a/tests/process.rs
+++ b/tests/process.rs
@@ -564,11 +564,10 @@
     std::fs::remove_dir_all(&folder).expect("folder removed");
 }
 
-// Guards against a message that the predecessor of an upgrade accepts and that nobody delivers, because another client
-// has had its id accepted by the successor while the request was still arriving. The predecessor has handed off and
-// answers on the connections that are open.
+// Guards against a message that the predecessor of an upgrade accepts and that nobody delivers, because the successor has
+// accepted its id for another client. The predecessor has handed off and answers on the connections that are open.
 #[test]
-fn id_of_an_arriving_request_is_not_accepted_by_the_successor_for_another_client() {
+fn one_id_sent_to_both_processes_is_accepted_for_one_client() {
     // The call to the endpoint stays out, so that the predecessor goes on running.
     let (endpoint, calls) = scripted_server(|_| {
         thread::sleep(Duration::from_millis(1_500));
