Show with real processes that a crowd of large requests passes the memory limit

Nothing in the program reads memory_mb: connections are bounded by count, bytes for each connection alone.

The scenario is in crates/fakes, the experiments client-crowd (random, with kills and shutdowns) and client-crowd-table run it. The test counts memory without the pages of the program's file, which are 12 MB in the test's build and 4 MB in the release build.

--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs)]
 
 mod capacity;
+mod client_crowd;
 mod consul_cold;
 mod consul_drain;
 mod consul_scale;
@@ -61,7 +62,7 @@
     run: fn(&RunOptions) -> Result<ExperimentReport, ExperimentError>,
 }
 
-const EXPERIMENTS: [Experiment; 11] = [
+const EXPERIMENTS: [Experiment; 13] = [
     Experiment {
         name: "capacity-forwarder",
         shows: "one forwarder's cost by destinations listed and messages waiting, as lines, against the aims",
@@ -122,6 +123,18 @@
         sabotage: "responses are followed by surplus bytes",
         run: surplus_responses::run_cost,
     },
+    Experiment {
+        name: "client-crowd",
+        shows: "crowds of bad clients beside regular ones, with kills, shutdowns and reloads: memory, answers, messages",
+        sabotage: "a tenth of the memory is allowed",
+        run: client_crowd::run,
+    },
+    Experiment {
+        name: "client-crowd-table",
+        shows: "each kind of crowd at 32, 64 and 192 MB and 256 and 1,024 descriptors (--quick: 32 MB)",
+        sabotage: "a tenth of the memory is allowed",
+        run: client_crowd::run_table,
+    },
     Experiment {
         name: "capacity-control",
         shows: "50, 150 and 450 forwarders without traffic: what control costs at rest, with changes and restarts, in losses",
--- a/crates/fakes/src/forwarder/config.rs
+++ b/crates/fakes/src/forwarder/config.rs
@@ -16,6 +16,8 @@
     pub max_open: usize,
     /// Limit on file descriptors.
     pub sockets: usize,
+    /// Limit on the process's memory, in MB.
+    pub memory_mb: u64,
     /// Limit on the size of the state folder, in MB.
     pub disk_mb: f64,
     /// Number of forwarders that share the destinations.
@@ -31,6 +33,7 @@
             max_in_flight: 64,
             max_open: 4000,
             sockets: 1024,
+            memory_mb: 512,
             disk_mb: 32.0,
             fleet_size: 1,
         }
@@ -44,7 +47,7 @@
             "listen": "127.0.0.1:0",
             "discovery": self.discovery.to_string(),
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 512, "sockets": self.sockets, "disk_mb": self.disk_mb},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": self.endpoints},
             "settings": self.settings(),
         })
--- a/crates/fakes/src/forwarder/process.rs
+++ b/crates/fakes/src/forwarder/process.rs
@@ -120,6 +120,11 @@
 
     /// Kills the forwarder and waits until it has ended.
     pub fn kill(mut self) {
+        self.kill_now();
+    }
+
+    /// Kills the forwarder and waits until it has ended, before another one takes its place.
+    pub fn kill_now(&mut self) {
         drop(self.child.kill());
         drop(self.child.wait());
     }
@@ -139,7 +144,6 @@
 
 impl Drop for ForwarderProcess {
     fn drop(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
+        self.kill_now();
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 
 pub mod certificates;
+pub mod client_crowd;
 pub mod consul;
 pub mod destination;
 pub mod discovery;
