Bound the memory that clients' requests hold together by memory_mb

Callers saw: with hundreds of clients that wrote slowly, stopped half way through a large request or sent long heads, a process with memory_mb 32 took 59 to 66 MB and would have been killed, and a quarter of the regular clients had no answer in time.

Cause: memory_mb was read nowhere. Connections were bounded by count and bytes for each connection alone: a body was kept as the slices of hyper's read buffers that it came in, beside the buffers of its head; buffers grow to 32 KiB and stay for as long as the connection; each silent connection had two buffers. At the limit on connections the one that had connected last was closed first, unread.

Change: three eighths of memory_mb are for clients. Each connection counts 24 KiB; what is left is reserved by requests before they are read: bodies over 4 KiB by their length, until the answer, and heads over 4 KiB. Small requests reserve nothing. A request without memory is not read any further; after 250 ms it is answered 503. While one waits, requests that have been arriving for over 100 ms are answered 408, longest first. The same order holds for places: requests overdue, then idle connections, and a connection that has just been accepted is never closed for another one; the next client waits in the accept queue, at most until a request is overdue. Buffers are made when the first bytes come, reads are under 8 KiB so that buffers stay small, a head is dropped before its body is read. A reload changes the limit on memory; memory_mb below 16 is an error of the configuration, without it nothing is limited. The program's other parts are not bounded by this.

The test of the shutdown's health check has to name a connection.

--- a/crates/fakes/src/client_crowd/scenario.rs
+++ b/crates/fakes/src/client_crowd/scenario.rs
@@ -8,7 +8,7 @@
 use crate::{DiscoveryServer, ServerRuntime, TemporaryFolder};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -137,8 +137,7 @@
             DestinationServer::new(CapacityModel { service_time: SERVICE_TIME, ..CapacityModel::default() });
         let discovery = DiscoveryServer::start("");
         let folder = self.folder(name, &destination, &discovery);
-        let launcher = limited_launcher(program, &folder, self.descriptors);
-        let mut run = Run::start(&launcher, folder);
+        let mut run = Run::start(program, folder, self.descriptors);
         let is_over = Arc::new(AtomicBool::new(false));
         let regular =
             RegularClients::new(run.address.clone(), is_over.clone(), self.requests_per_second, self.seed);
@@ -152,7 +151,7 @@
         let crowd_began = Instant::now();
         for wave in 0..self.waves {
             let interruptions = if wave == 0 { &self.interruptions[..] } else { &[] };
-            let state = self.run_wave(&mut run, wave, interruptions, &launcher);
+            let state = self.run_wave(&mut run, wave, interruptions);
             report.left_open += state.left_open.load(Ordering::Relaxed);
             report.crowd_connections += state.connections.load(Ordering::Relaxed);
             accepted_by_crowd.append(&mut state.accepted.lock().unwrap_or_else(PoisonError::into_inner));
@@ -191,13 +190,7 @@
     }
 
     /// Runs one wave of the crowd.
-    fn run_wave(
-        &self,
-        run: &mut Run,
-        wave: usize,
-        interruptions: &[Interruption],
-        launcher: &Path,
-    ) -> Arc<CrowdState> {
+    fn run_wave(&self, run: &mut Run, wave: usize, interruptions: &[Interruption]) -> Arc<CrowdState> {
         let state = Arc::new(CrowdState {
             address: run.address.clone(),
             is_over: Arc::default(),
@@ -215,7 +208,7 @@
         let pause = self.crowd_time / (interruptions.len() as u32 + 1);
         for interruption in interruptions {
             run.sample_for(pause);
-            run.interrupt(*interruption, launcher);
+            run.interrupt(*interruption);
         }
         run.sample_for(pause);
         state.is_over.store(true, Ordering::Relaxed);
@@ -223,17 +216,10 @@
     }
 }
 
-/// Writes a script that starts the program with a limit on descriptors, and returns its path.
-fn limited_launcher(program: &Path, folder: &TemporaryFolder, descriptors: usize) -> std::path::PathBuf {
-    use std::os::unix::fs::PermissionsExt;
-    let script = format!("#!/bin/sh\nulimit -n {descriptors}\nexec {} \"$@\"\n", program.display());
-    let launcher = folder.write("limited", &script);
-    std::fs::set_permissions(&launcher, std::fs::Permissions::from_mode(0o755)).expect("a program");
-    launcher
-}
-
 /// The running process and what was seen of its memory.
 struct Run {
+    program: PathBuf,
+    descriptors: usize,
     forwarder: ForwarderProcess,
     folder: TemporaryFolder,
     address: Arc<Mutex<SocketAddr>>,
@@ -245,10 +231,12 @@
 }
 
 impl Run {
-    fn start(launcher: &Path, folder: TemporaryFolder) -> Self {
-        let forwarder = ForwarderProcess::start(launcher, &folder, &[]);
+    fn start(program: &Path, folder: TemporaryFolder, descriptors: usize) -> Self {
+        let forwarder = ForwarderProcess::start_with_descriptor_limit(program, &folder, descriptors);
         let address = Arc::new(Mutex::new(forwarder.address));
         Run {
+            program: program.to_owned(),
+            descriptors,
             forwarder,
             folder,
             address,
@@ -283,7 +271,7 @@
         self.sample();
     }
 
-    fn interrupt(&mut self, interruption: Interruption, launcher: &Path) {
+    fn interrupt(&mut self, interruption: Interruption) {
         self.sample();
         match interruption {
             Interruption::Reload => return self.forwarder.signal("HUP"),
@@ -295,7 +283,8 @@
         }
         self.forwarder.kill_now();
         thread::sleep(RESTART_DELAY);
-        self.forwarder = ForwarderProcess::start(launcher, &self.folder, &[]);
+        self.forwarder =
+            ForwarderProcess::start_with_descriptor_limit(&self.program, &self.folder, self.descriptors);
         *self.address.lock().unwrap_or_else(PoisonError::into_inner) = self.forwarder.address;
     }
 }
--- a/crates/fakes/src/forwarder/process.rs
+++ b/crates/fakes/src/forwarder/process.rs
@@ -38,6 +38,14 @@
         ForwarderProcess::spawn(command)
     }
 
+    /// Starts a forwarder as [`ForwarderProcess::start`] does, with a limit on its open descriptors.
+    pub fn start_with_descriptor_limit(program: &Path, folder: &TemporaryFolder, limit: usize) -> Self {
+        let serve = "ulimit -n \"$2\"; exec \"$0\" serve --config \"$1/config.json\" --state \"$1/state\"";
+        let mut command = Command::new("sh");
+        command.args(["-c", serve]).arg(program).arg(folder.path()).arg(limit.to_string());
+        ForwarderProcess::spawn(command)
+    }
+
     /// Starts a forwarder as [`ForwarderProcess::start`] does, so that several can run with the same folder. The caller
     /// holds the socket for clients, which the forwarder inherits as descriptor 4. Returns the address of its console
     /// too.
--- a/crates/forwarder/src/client_api.rs
+++ b/crates/forwarder/src/client_api.rs
@@ -5,17 +5,20 @@
 //! submit the same values and map the same answers to its own responses.
 
 mod reading_order;
+mod request_body;
 
+use crate::client_connections::{MemoryReservation, RegisteredConnection};
 use crate::input::{IDEMPOTENCY_KEY, Input, RequestId, Submission, SubmitAnswer};
 use crate::ownership::ReceivedMark;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use orchidyoke_core::interface::{DestinationId, Micros};
 use orchidyoke_journal::IdReservations;
 use reading_order::{ReadingOrder, Turn};
+use request_body::{MAX_BODY_BYTES, read_body};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::ops::RangeInclusive;
@@ -26,16 +29,12 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-/// Largest body that the protocol allows, in bytes.
-const MAX_BODY_BYTES: usize = 64 << 10;
 /// Time from a request's head after which its id is reserved among the processes, because its body is still arriving.
 const RESERVE_AFTER: Duration = Duration::from_millis(1);
 /// Longest id, tenant or other header value that is accepted, in bytes.
 const MAX_FIELD_BYTES: usize = 256;
 /// Accepted time left to deliver a message, in seconds. No class allows as much as a day.
 const TIME_LEFT_SECONDS: RangeInclusive<f64> = 0.0..=86_400.0;
-/// Limit on the time until a body has arrived. A client gives up 400 ms after it has sent its request.
-const BODY_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Passes client requests to the reducer and its answers back.
 pub struct ClientGateway {
@@ -124,6 +123,9 @@
     const BODY_TOO_LARGE: RequestError =
         RequestError { status: StatusCode::PAYLOAD_TOO_LARGE, text: "the body is over 64 KiB\n" };
 
+    const INCOMPLETE_BODY: RequestError =
+        RequestError { status: StatusCode::REQUEST_TIMEOUT, text: "the body did not come\n" };
+
     fn bad_request(text: &'static str) -> Self {
         RequestError { status: StatusCode::BAD_REQUEST, text }
     }
@@ -142,12 +144,12 @@
     response
 }
 
-/// Answers one request: submits its message to the reducer, or reports the health of the process. With
-/// `is_shutting_down`, `/healthz` answers that the process accepts no more clients.
+/// Answers one request of a connection: submits its message to the reducer, or reports the health of the process. In a
+/// shutdown, `/healthz` answers that the process accepts no more clients.
 pub async fn respond(
     gateway: &ClientGateway,
     request: Request<Incoming>,
-    is_shutting_down: bool,
+    connection: &RegisteredConnection,
 ) -> Response<Full<Bytes>> {
     if request.headers().contains_key(TRANSFER_ENCODING) {
         // A request with both Transfer-Encoding and Content-Length can smuggle another request in its body, and hyper
@@ -156,10 +158,13 @@
         return RequestError { status: StatusCode::LENGTH_REQUIRED, text }.into_response();
     }
     if request.uri().path() == "/healthz" {
-        return health_response(request.method(), is_shutting_down);
+        return health_response(request.method(), connection.connections().is_shutting_down());
     }
-    match read_request(gateway, request).await {
-        Ok((message, turn)) => submit_response(gateway.submit(message, turn).await),
+    match read_request(gateway, request, connection).await {
+        // The memory stays reserved until the answer. From then on an accepted message counts against the journal's space.
+        Ok(ReceivedRequest { message, turn, _memory }) => {
+            submit_response(gateway.submit(message, turn).await)
+        }
         Err(error) => error.into_response(),
     }
 }
@@ -172,11 +177,20 @@
     }
 }
 
+/// A request that has been read whole.
+struct ReceivedRequest {
+    message: Submission,
+    turn: Turn,
+    /// The memory that holds its body; `None` if the body is small.
+    _memory: Option<MemoryReservation>,
+}
+
 /// Reads a message. Its turn among the requests with the same id is taken when its head has been read.
 async fn read_request(
     gateway: &ClientGateway,
     request: Request<Incoming>,
-) -> Result<(Submission, Turn), RequestError> {
+    connection: &RegisteredConnection,
+) -> Result<ReceivedRequest, RequestError> {
     let received_at = Instant::now();
     if request.method() != Method::POST {
         return Err(RequestError { status: StatusCode::METHOD_NOT_ALLOWED, text: "POST only\n" });
@@ -184,37 +198,28 @@
     if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(RequestError::BODY_TOO_LARGE);
     }
-    let (parts, body) = request.into_parts();
-    let class = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let mut message = parse_head(class, &parts.headers)?;
+    let (mut message, body) = parse_request(request)?;
     let mut turn = gateway.reading_order.register(&message.id);
-    let mut reading = pin!(read_body(body));
-    message.body = match timeout(RESERVE_AFTER, reading.as_mut()).await {
-        Ok(body) => body?,
+    let mut reading = pin!(read_body(body, connection));
+    let received = match timeout(RESERVE_AFTER, reading.as_mut()).await {
+        Ok(received) => received?,
         Err(_) => {
             turn.reserve_while_arriving();
             reading.await?
         }
     };
+    message.body = received.bytes;
     // The time left counts from the start of the request, not from the end of its body.
     message.time_left -= received_at.elapsed().as_micros() as Micros;
-    Ok((message, turn))
+    Ok(ReceivedRequest { message, turn, _memory: received.memory })
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, RequestError> {
-    let body = timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await;
-    let body = body
-        .map_err(|_| RequestError { status: StatusCode::REQUEST_TIMEOUT, text: "the body did not come\n" })?;
-    let body = body.map_err(|error| {
-        let is_too_large = error.is::<LengthLimitError>();
-        if is_too_large {
-            RequestError::BODY_TOO_LARGE
-        } else {
-            RequestError::bad_request("the body could not be read\n")
-        }
-    })?;
-    // A slice would keep the whole read buffer in memory for as long as the message.
-    Ok(Bytes::copy_from_slice(&body.to_bytes()))
+/// Parses the head of a message. The head is dropped, because its fields would keep the read buffer in memory for as long
+/// as the body is arriving.
+fn parse_request(request: Request<Incoming>) -> Result<(Submission, Incoming), RequestError> {
+    let (parts, body) = request.into_parts();
+    let class = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    Ok((parse_head(class, &parts.headers)?, body))
 }
 
 /// Reads the headers of a message and leaves its body empty. The reducer checks whether the class needs an
--- a/crates/forwarder/src/client_connection.rs
+++ b/crates/forwarder/src/client_connection.rs
@@ -6,8 +6,8 @@
 //! an answer that the client has not yet read would be lost.
 
 use crate::client_api::{ClientGateway, respond};
-use crate::client_connections::{ClientConnections, EvictionSignals};
-use crate::connection_limit::ConnectionId;
+use crate::client_connections::{ClientConnections, RegisteredConnection};
+use crate::client_stream::{ClientStream, HeadProgress, MAX_READ_AHEAD_BYTES};
 use crate::input::Input;
 use crate::log;
 use bytes::Bytes;
@@ -27,14 +27,12 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Limit on the time until a request's head has arrived, from the connection's start or the last answer. Together
 /// with the limit for a body, it gives a client its answer or its close within 3 s of connecting. It exceeds the 2 s
 /// for which a client may rely on an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_100);
-/// Most bytes that are read ahead for one client.
-const MAX_READ_AHEAD_BYTES: usize = 32 << 10;
 /// In a shutdown, limit on the time to receive the rest of a request whose first bytes have arrived, and on the time to
 /// send the last bytes of an answer.
 const LAST_BYTES_TIMEOUT: Duration = Duration::from_millis(50);
@@ -50,46 +48,50 @@
 
 /// An open connection. It stays registered until this value is dropped, which also happens when its task panics.
 struct ClientConnection {
-    id: ConnectionId,
-    connections: Rc<ClientConnections>,
+    registered: Rc<RegisteredConnection>,
     gateway: Rc<ClientGateway>,
-    signals: Rc<EvictionSignals>,
+    opened_at: Instant,
+    head: Rc<HeadProgress>,
     has_sent_request: Cell<bool>,
     is_awaiting_answer: Cell<bool>,
 }
 
 impl ClientConnection {
-    fn new(connections: Rc<ClientConnections>, gateway: Rc<ClientGateway>) -> Rc<Self> {
-        let (id, signals) = connections.on_connected();
+    fn new(connections: &Rc<ClientConnections>, gateway: Rc<ClientGateway>) -> Rc<Self> {
         gateway.report(Input::ClientConnection { connected: true });
         Rc::new(ClientConnection {
-            id,
-            connections,
+            registered: Rc::new(connections.register()),
             gateway,
-            signals,
+            opened_at: Instant::now(),
+            head: Rc::default(),
             has_sent_request: Cell::new(false),
             is_awaiting_answer: Cell::new(false),
         })
     }
 
+    fn connections(&self) -> &ClientConnections {
+        self.registered.connections()
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         self.has_sent_request.set(true);
         self.is_awaiting_answer.set(true);
-        self.connections.on_request(self.id);
-        let mut response = respond(&self.gateway, request, self.connections.is_shutting_down()).await;
-        if self.connections.is_handing_over() {
+        self.head.on_parsed();
+        let mut response = respond(&self.gateway, request, &self.registered).await;
+        if self.connections().is_handing_over() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         self.is_awaiting_answer.set(false);
-        self.connections.on_answered(self.id);
+        self.head.on_answered();
+        self.registered.on_answered();
         response
     }
 
     /// Waits until the connection has to close, to make room for another connection or in a shutdown.
     async fn close_requested(&self) {
-        let mut shutting_down = self.connections.subscribe_shutdown();
+        let mut shutting_down = self.connections().subscribe_shutdown();
         tokio::select! {
-            () = self.signals.close.notified() => {}
+            () = self.registered.evicted() => {}
             _ = shutting_down.wait_for(|shutting_down| *shutting_down) => if !self.has_sent_request.get() {
                 // The first request of a new connection may not have arrived yet.
                 sleep(LAST_BYTES_TIMEOUT).await;
@@ -97,6 +99,17 @@
         }
         // Yields to the runtime, so that bytes that have already arrived are still read.
         tokio::task::yield_now().await;
+        if self.registered.is_evicted() {
+            self.registered.stop_receiving();
+        }
+    }
+
+    /// Waits until the head of the first request is overdue. Never ends once the head has arrived.
+    async fn first_head_overdue(&self) {
+        sleep_until(self.opened_at + HEAD_TIMEOUT).await;
+        if self.has_sent_request.get() {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Polls a connection that is shutting down until its last answer is sent or a time limit has passed.
@@ -115,7 +128,6 @@
 
 impl Drop for ClientConnection {
     fn drop(&mut self) {
-        self.connections.on_closed(self.id);
         self.gateway.report(Input::ClientConnection { connected: false });
     }
 }
@@ -126,7 +138,7 @@
     gateway: &Rc<ClientGateway>,
     connections: &Rc<ClientConnections>,
 ) {
-    let client = ClientConnection::new(connections.clone(), gateway.clone());
+    let client = ClientConnection::new(connections, gateway.clone());
     tokio::task::spawn_local(async move {
         match stream.set_nodelay(true) {
             Ok(()) => linger(serve(stream, &client).await, &client).await,
@@ -138,10 +150,30 @@
 /// Serves requests until the client or the forwarder ends the connection, and returns its socket. Requests that have
 /// been read whole by then are answered.
 async fn serve(stream: TcpStream, client: &Rc<ClientConnection>) -> TcpStream {
+    // A connection that has sent nothing gets no buffers.
+    let has_bytes = tokio::select! {
+        biased;
+        () = first_bytes(&stream) => true,
+        () = client.close_requested() => false,
+        () = client.first_head_overdue() => false,
+    };
+    if has_bytes { Box::pin(serve_requests(stream, client)).await } else { stream }
+}
+
+/// Waits until the client has sent something, or has closed the connection.
+async fn first_bytes(stream: &TcpStream) {
+    // The runtime takes an accepted socket for readable until a read has shown that it is not.
+    while stream.readable().await.is_ok()
+        && stream.try_read(&mut []).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    {}
+}
+
+async fn serve_requests(stream: TcpStream, client: &Rc<ClientConnection>) -> TcpStream {
     let service = service_fn(|request| {
         let client = client.clone();
         Box::pin(async move { Ok::<_, Infallible>(client.respond(request).await) })
     });
+    let stream = ClientStream::new(stream, client.head.clone(), client.registered.clone());
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
@@ -153,6 +185,7 @@
         biased;
         served = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(served),
         () = client.close_requested() => None,
+        () = client.first_head_overdue() => Some(Ok(())),
     };
     let served = match served {
         Some(served) => served,
@@ -167,17 +200,17 @@
     {
         log!("client connection: closed after an error: error={error}");
     }
-    connection.into_parts().io.into_inner()
+    connection.into_parts().io.into_inner().into_inner()
 }
 
 /// Shuts down the sending side, so that the client reads its last answer. Then discards what the client still sends,
 /// until the client has closed too, a limit is reached, or the connection is evicted.
 async fn linger(mut stream: TcpStream, client: &ClientConnection) {
-    client.connections.on_lingering(client.id);
+    client.registered.on_lingering();
     // An error here is ignored: the forwarder has sent everything that it owes the client.
     tokio::select! {
-        _ = timeout(LINGER_TIMEOUT, close_and_discard(&mut stream, &client.connections)) => {}
-        () = client.signals.cut.notified() => {}
+        _ = timeout(LINGER_TIMEOUT, close_and_discard(&mut stream, client.connections())) => {}
+        () = client.registered.cut() => {}
     }
 }
 
--- a/crates/forwarder/src/client_connections.rs
+++ b/crates/forwarder/src/client_connections.rs
@@ -1,23 +1,34 @@
 //! The open client connections, shared by the listener and the connections' tasks.
 //!
-//! This module enforces the limit on open connections. It tells the tasks of connections to close them: to make room
-//! for another connection, in a graceful shutdown, and when a successor process takes over the clients.
+//! This module enforces the limits on open connections and on the memory of their requests. It tells the tasks of
+//! connections to close them: to make room for another connection or request, in a graceful shutdown, and when a
+//! successor process takes over the clients.
 
+use crate::config::Limits;
 use crate::connection_limit::{ConnectionId, ConnectionLimit, Eviction};
+use crate::request_memory::{MemoryPermit, RequestMemory};
 use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Size of the buffer for bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 64 << 10;
+/// Interval at which connections are evicted while requests wait for memory.
+const MEMORY_EVICTION_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest wait for a place when no request becomes overdue earlier.
+const MAX_ROOM_WAIT: Duration = Duration::from_secs(1);
 
-/// The open client connections and the limit on them.
+/// The open client connections and the limits on them.
 pub struct ClientConnections {
     limit: RefCell<ConnectionLimit>,
     limit_changed: Notify,
     signals: RefCell<HashMap<ConnectionId, Rc<EvictionSignals>>>,
+    memory: RequestMemory,
+    is_evicting_for_memory: Cell<bool>,
     discard_buffer: RefCell<Box<[u8]>>,
     shutting_down: watch::Sender<bool>,
     handing_over: Cell<bool>,
@@ -26,19 +37,31 @@
 /// The signals that tell a connection to make room for another one.
 #[derive(Default)]
 pub(crate) struct EvictionSignals {
+    /// Whether a lingering close was asked for.
+    is_closing: Cell<bool>,
     /// Asks for a lingering close.
-    pub(crate) close: Notify,
+    close: Notify,
+    /// Asks for an answer to the request whose body is arriving, instead of waiting for the rest.
+    stop_receiving: Notify,
     /// Asks for the end of a lingering close.
-    pub(crate) cut: Notify,
+    cut: Notify,
 }
 
 impl ClientConnections {
-    /// Returns an empty set that allows at most `max_connections` connections at a time.
+    /// Returns an empty set that allows at most `max_connections` connections at a time, without a limit on the memory
+    /// of their requests.
     pub fn new(max_connections: usize) -> Rc<Self> {
+        ClientConnections::with_memory(max_connections, RequestMemory::unlimited())
+    }
+
+    /// Returns an empty set as [`ClientConnections::new`] does, with this memory for requests.
+    pub fn with_memory(max_connections: usize, memory: RequestMemory) -> Rc<Self> {
         Rc::new(ClientConnections {
             limit: RefCell::new(ConnectionLimit::new(max_connections)),
             limit_changed: Notify::new(),
             signals: RefCell::default(),
+            memory,
+            is_evicting_for_memory: Cell::new(false),
             discard_buffer: RefCell::new(vec![0; DISCARD_BUFFER_BYTES].into()),
             shutting_down: watch::Sender::new(false),
             handing_over: Cell::new(false),
@@ -56,6 +79,14 @@
         self.handing_over.set(true);
     }
 
+    /// Registers a connection. It stays registered until the result is dropped.
+    pub fn register(self: &Rc<Self>) -> RegisteredConnection {
+        let id = self.limit.borrow_mut().on_connected(Instant::now());
+        let signals = Rc::new(EvictionSignals::default());
+        self.signals.borrow_mut().insert(id, signals.clone());
+        RegisteredConnection { id, connections: self.clone(), signals }
+    }
+
     pub(crate) fn subscribe_shutdown(&self) -> watch::Receiver<bool> {
         self.shutting_down.subscribe()
     }
@@ -72,6 +103,12 @@
         self.limit.borrow().is_full()
     }
 
+    /// Applies other limits on the memory of requests. The limit on connections stays.
+    pub fn set_limits(&self, limits: Limits) {
+        let max_connections = self.limit.borrow().max_connections();
+        self.memory.set_limit(limits.request_bytes(max_connections).unwrap_or(usize::MAX));
+    }
+
     /// Returns the shared buffer for bytes that are discarded.
     pub(crate) fn discard_buffer(&self) -> RefMut<'_, Box<[u8]>> {
         self.discard_buffer.borrow_mut()
@@ -85,45 +122,167 @@
             if !self.is_full() {
                 return;
             }
-            self.limit_changed.notified().await;
+            let now = Instant::now();
+            let next_overdue = self.limit.borrow().next_overdue(now);
+            let wait = next_overdue.map_or(MAX_ROOM_WAIT, |at| at - now);
+            // After the wait, whether notified or not, the connections are looked at again.
+            drop(timeout(wait, self.limit_changed.notified()).await);
         }
     }
 
     /// Evicts a connection if room is needed and a connection can be evicted. Returns whether it has evicted one.
     pub(crate) fn evict(&self) -> bool {
         let Some(eviction) = self.limit.borrow_mut().evict(Instant::now()) else { return false };
-        let signals_of = |id: ConnectionId| self.signals.borrow().get(&id).cloned();
         match eviction {
-            Eviction::Close(id) => signals_of(id).iter().for_each(|signals| signals.close.notify_one()),
-            Eviction::Cut(id) => signals_of(id).iter().for_each(|signals| signals.cut.notify_one()),
+            Eviction::Close(id) => self.signal(id, EvictionSignals::request_close),
+            Eviction::Cut(id) => self.signal(id, |signals| signals.cut.notify_one()),
         }
         true
     }
 
-    pub(crate) fn on_connected(&self) -> (ConnectionId, Rc<EvictionSignals>) {
-        let id = self.limit.borrow_mut().on_connected(Instant::now());
-        let signals = Rc::new(EvictionSignals::default());
-        self.signals.borrow_mut().insert(id, signals.clone());
-        (id, signals)
+    fn signal(&self, id: ConnectionId, send: impl Fn(&EvictionSignals)) {
+        let signals = self.signals.borrow().get(&id).cloned();
+        signals.iter().for_each(|signals| send(signals));
+    }
+
+    /// Starts the task that evicts connections while requests wait for memory, unless it runs already.
+    fn start_evicting_for_memory(self: &Rc<Self>) {
+        if self.is_evicting_for_memory.replace(true) {
+            return;
+        }
+        let connections = self.clone();
+        spawn_local(async move {
+            while connections.memory.missing_bytes() > 0 {
+                connections.evict_for_memory();
+                sleep(MEMORY_EVICTION_INTERVAL).await;
+            }
+            connections.is_evicting_for_memory.set(false);
+        });
+    }
+
+    fn evict_for_memory(&self) {
+        let missing_bytes = self.memory.missing_bytes();
+        loop {
+            let evicted = self.limit.borrow_mut().evict_for_memory(missing_bytes, Instant::now());
+            let Some(id) = evicted else { return };
+            self.signal(id, EvictionSignals::request_close);
+        }
+    }
+}
+
+impl EvictionSignals {
+    fn request_close(&self) {
+        self.is_closing.set(true);
+        self.close.notify_one();
+    }
+}
+
+/// An open client connection. It counts against the limit until this value is dropped.
+pub struct RegisteredConnection {
+    id: ConnectionId,
+    connections: Rc<ClientConnections>,
+    signals: Rc<EvictionSignals>,
+}
+
+impl RegisteredConnection {
+    /// Returns the set that it belongs to.
+    pub fn connections(&self) -> &Rc<ClientConnections> {
+        &self.connections
     }
 
-    pub(crate) fn on_request(&self, id: ConnectionId) {
-        self.limit.borrow_mut().on_request(id, Instant::now());
+    /// Records that the head of a request has been read and its body is arriving.
+    pub(crate) fn on_receiving(&self) {
+        self.connections.limit.borrow_mut().on_receiving(self.id, Instant::now());
     }
 
-    pub(crate) fn on_answered(&self, id: ConnectionId) {
-        self.limit.borrow_mut().on_answered(id, Instant::now());
-        self.limit_changed.notify_one();
+    /// Records that a whole request has been read.
+    pub(crate) fn on_request(&self) {
+        self.connections.limit.borrow_mut().on_request(self.id, Instant::now());
     }
 
-    pub(crate) fn on_lingering(&self, id: ConnectionId) {
-        self.limit.borrow_mut().on_lingering(id, Instant::now());
-        self.limit_changed.notify_one();
+    /// Records that the last request has been answered.
+    pub(crate) fn on_answered(&self) {
+        self.connections.limit.borrow_mut().on_answered(self.id, Instant::now());
+        self.connections.limit_changed.notify_one();
     }
 
-    pub(crate) fn on_closed(&self, id: ConnectionId) {
-        self.limit.borrow_mut().on_closed(id);
-        self.signals.borrow_mut().remove(&id);
-        self.limit_changed.notify_one();
+    /// Records that the sending side is shut down.
+    pub(crate) fn on_lingering(&self) {
+        self.connections.limit.borrow_mut().on_lingering(self.id, Instant::now());
+        self.connections.limit_changed.notify_one();
+    }
+
+    /// Waits until the connection is evicted.
+    pub(crate) async fn evicted(&self) {
+        while !self.signals.is_closing.get() {
+            self.signals.close.notified().await;
+        }
+    }
+
+    /// Returns whether the connection is evicted.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.signals.is_closing.get()
+    }
+
+    /// Ends the wait for the rest of a request.
+    pub(crate) fn stop_receiving(&self) {
+        self.signals.stop_receiving.notify_one();
+    }
+
+    /// Waits until the rest of the request is not to be waited for any more.
+    pub(crate) async fn receiving_stopped(&self) {
+        self.signals.stop_receiving.notified().await;
+    }
+
+    /// Waits until a lingering close has to end.
+    pub(crate) async fn cut(&self) {
+        self.signals.cut.notified().await;
+    }
+
+    /// Reserves memory for the body of a request, in bytes. Evicts other connections if there is not enough.
+    pub(crate) async fn reserve_body(&self, bytes: usize) -> MemoryReservation {
+        if let Some(permit) = self.connections.memory.try_reserve(bytes) {
+            return self.reservation(permit);
+        }
+        self.connections.limit.borrow_mut().on_awaiting_memory(self.id, Instant::now());
+        let reservation = self.reserve(bytes).await;
+        self.on_receiving();
+        reservation
+    }
+
+    /// Reserves memory, in bytes. Evicts other connections if there is not enough.
+    pub(crate) async fn reserve(&self, bytes: usize) -> MemoryReservation {
+        if let Some(permit) = self.connections.memory.try_reserve(bytes) {
+            return self.reservation(permit);
+        }
+        let waiting = self.connections.memory.reserve(bytes);
+        self.connections.start_evicting_for_memory();
+        self.reservation(waiting.await)
+    }
+
+    fn reservation(&self, permit: MemoryPermit) -> MemoryReservation {
+        self.connections.limit.borrow_mut().on_reserved(self.id, permit.bytes());
+        MemoryReservation { id: self.id, connections: self.connections.clone(), permit }
+    }
+}
+
+impl Drop for RegisteredConnection {
+    fn drop(&mut self) {
+        self.connections.limit.borrow_mut().on_closed(self.id);
+        self.connections.signals.borrow_mut().remove(&self.id);
+        self.connections.limit_changed.notify_one();
+    }
+}
+
+/// Memory that is reserved for a connection's request. It is given back when this value is dropped.
+pub struct MemoryReservation {
+    id: ConnectionId,
+    connections: Rc<ClientConnections>,
+    permit: MemoryPermit,
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.connections.limit.borrow_mut().on_released(self.id, self.permit.bytes());
     }
 }
--- /dev/null
+++ b/crates/forwarder/src/client_stream.rs
@@ -0,0 +1,153 @@
+//! The socket of a client connection, which bounds what hyper reads ahead.
+//!
+//! hyper enlarges its read buffer while reads fill it and while a head is incomplete, and keeps it for as long as the
+//! connection. Small reads keep the buffer small. Before a head grows beyond what each connection may have, memory for
+//! the largest buffer is reserved, and until then the socket is not read.
+
+use crate::client_connections::{MemoryReservation, RegisteredConnection};
+use bytes::BufMut;
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Longest head of a request, and most bytes that hyper reads ahead.
+pub(crate) const MAX_READ_AHEAD_BYTES: usize = 32 << 10;
+/// Bytes of a head that every connection may have.
+const FREE_HEAD_BYTES: usize = 4 << 10;
+/// Most bytes of one read. A read that filled hyper's buffer of 8 KiB would have it doubled.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
+/// How much of the next request's head has been read.
+#[derive(Debug, Default)]
+pub(crate) struct HeadProgress {
+    is_parsed: Cell<bool>,
+    bytes: Cell<usize>,
+}
+
+impl HeadProgress {
+    /// Records that the head has been parsed, so that what follows is the body.
+    pub(crate) fn on_parsed(&self) {
+        self.is_parsed.set(true);
+    }
+
+    /// Records that the request is answered, so that what follows is the next head.
+    pub(crate) fn on_answered(&self) {
+        self.is_parsed.set(false);
+        self.bytes.set(0);
+    }
+
+    fn on_read(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
+    /// Returns how many more bytes may be read without a reservation.
+    fn free_bytes(&self) -> usize {
+        if self.is_parsed.get() { MAX_READ_BYTES } else { FREE_HEAD_BYTES.saturating_sub(self.bytes.get()) }
+    }
+}
+
+/// The socket of a client connection.
+pub(crate) struct ClientStream {
+    stream: TcpStream,
+    head: Rc<HeadProgress>,
+    connection: Rc<RegisteredConnection>,
+    growth: HeadGrowth,
+}
+
+/// The memory for a read buffer that has grown beyond [`FREE_HEAD_BYTES`].
+enum HeadGrowth {
+    None,
+    Waiting(Pin<Box<dyn Future<Output = MemoryReservation>>>),
+    /// Reserved for as long as the connection, because hyper keeps its buffer.
+    Reserved {
+        _reservation: MemoryReservation,
+    },
+}
+
+impl ClientStream {
+    pub(crate) fn new(
+        stream: TcpStream,
+        head: Rc<HeadProgress>,
+        connection: Rc<RegisteredConnection>,
+    ) -> Self {
+        ClientStream { stream, head, connection, growth: HeadGrowth::None }
+    }
+
+    /// Returns the socket. Memory that was reserved for its read buffer is given back.
+    pub(crate) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
+    fn poll_grow(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if matches!(self.growth, HeadGrowth::None) {
+            let connection = self.connection.clone();
+            self.growth =
+                HeadGrowth::Waiting(Box::pin(async move { connection.reserve(MAX_READ_AHEAD_BYTES).await }));
+        }
+        if let HeadGrowth::Waiting(waiting) = &mut self.growth {
+            let reservation = ready!(waiting.as_mut().poll(context));
+            self.growth = HeadGrowth::Reserved { _reservation: reservation };
+        }
+        Poll::Ready(())
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut max_bytes = self.head.free_bytes();
+        if max_bytes == 0 {
+            ready!(self.poll_grow(context));
+            max_bytes = MAX_READ_BYTES;
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(&mut (&mut *buffer).limit(max_bytes)) {
+                Ok(bytes) => {
+                    self.head.on_read(bytes);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/forwarder/src/config.rs
+++ b/crates/forwarder/src/config.rs
@@ -22,6 +22,16 @@
 const RESERVED_DESCRIPTORS: usize = 18;
 /// Number of client connections that are accepted however low the limit on descriptors is.
 const MIN_CLIENT_CONNECTIONS: usize = 8;
+/// Memory that a client connection takes without the memory that its requests reserve, in bytes: its task, hyper's buffers
+/// and a small request.
+const CLIENT_CONNECTION_BYTES: usize = 24 << 10;
+/// Part of the memory for client connections and their requests. The rest is for the endpoint list, accepted messages
+/// with their calls and records, connections to endpoints, and the program itself.
+const CLIENT_MEMORY_SHARE: f64 = 0.375;
+/// Least memory for requests, in bytes: some of the longest ones at a time.
+const MIN_REQUEST_BYTES: usize = 512 << 10;
+/// The lowest limit on memory that the forwarder accepts, in MB.
+const MIN_MEMORY_MB: f64 = 16.0;
 /// The lowest limit on descriptors that the forwarder accepts.
 const MIN_DESCRIPTORS: usize = 64;
 
@@ -49,6 +59,8 @@
     /// Most open file descriptors.
     #[serde(rename = "sockets")]
     pub max_descriptors: usize,
+    /// Most memory of the process, in MB (10^6 bytes); `None` if it is not limited.
+    pub memory_mb: Option<f64>,
     /// Largest size of the journal's folder, in MB (10^6 bytes).
     pub disk_mb: f64,
 }
@@ -64,19 +76,35 @@
     }
 
     /// Returns the limit on open client connections. It is at most half of the descriptors, and at most what
-    /// endpoints, the console and `RESERVED_DESCRIPTORS` leave, so that clients cannot starve those. It is never
-    /// below `MIN_CLIENT_CONNECTIONS`.
+    /// endpoints, the console and `RESERVED_DESCRIPTORS` leave, so that clients cannot starve those. It is also at most
+    /// what fits into the clients' part of the memory. It is never below `MIN_CLIENT_CONNECTIONS`.
     pub fn max_client_connections(&self, max_calls: usize, max_console_connections: usize) -> usize {
         let endpoint_connections = self.max_endpoint_connections(max_calls);
         let others = endpoint_connections + max_console_connections + RESERVED_DESCRIPTORS;
         let left = self.max_descriptors.saturating_sub(others);
-        left.min(self.max_descriptors / 2).max(MIN_CLIENT_CONNECTIONS)
+        let fitting = self.client_bytes().map_or(usize::MAX, |bytes| bytes / CLIENT_CONNECTION_BYTES);
+        left.min(self.max_descriptors / 2).min(fitting).max(MIN_CLIENT_CONNECTIONS)
+    }
+
+    /// Returns the memory that requests may hold together beside `max_clients` connections, in bytes; `None` if it is not
+    /// limited.
+    pub fn request_bytes(&self, max_clients: usize) -> Option<usize> {
+        let bytes = self.client_bytes()?;
+        Some(bytes.saturating_sub(max_clients * CLIENT_CONNECTION_BYTES).max(MIN_REQUEST_BYTES))
+    }
+
+    /// Returns the clients' part of the memory, in bytes.
+    fn client_bytes(&self) -> Option<usize> {
+        self.memory_mb.map(|megabytes| (megabytes * 1e6 * CLIENT_MEMORY_SHARE) as usize)
     }
 
     fn check(&self) -> Result<(), ConfigError> {
         if self.max_descriptors < MIN_DESCRIPTORS {
             return Err(ConfigError::TooFewDescriptors);
         }
+        if self.memory_mb.is_some_and(|megabytes| megabytes.is_nan() || megabytes < MIN_MEMORY_MB) {
+            return Err(ConfigError::TooLittleMemory);
+        }
         if self.disk_mb.is_nan() || self.disk_mb <= 0.0 {
             return Err(ConfigError::NoDiskSpace);
         }
@@ -120,6 +148,9 @@
     /// The limit on descriptors is too low for the forwarder to work.
     #[error("limits: sockets: {MIN_DESCRIPTORS} is the least to work with")]
     TooFewDescriptors,
+    /// The limit on memory is too low for the forwarder to work.
+    #[error("limits: memory_mb: {MIN_MEMORY_MB} is the least to work with")]
+    TooLittleMemory,
     /// The limit on the journal's size is not above 0.
     #[error("limits: disk_mb: must be above 0")]
     NoDiskSpace,
--- a/crates/forwarder/src/effects.rs
+++ b/crates/forwarder/src/effects.rs
@@ -161,6 +161,9 @@
         if let Input::ConnectionClosed { connection, .. } = &input {
             self.endpoint_connections.remove(connection);
         }
+        if let Input::ConfigReloaded(config) = &input {
+            self.client_connections.set_limits(config.limits);
+        }
         if matches!(input, Input::TimerDue)
             && reducer.has_undecided_messages()
             && self.other_journals.may_have_others()
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -15,6 +15,7 @@
 use crate::policy_participant::PolicyParticipant;
 use crate::reducer::Reducer;
 use crate::reload::{ConfigSource, Reloads};
+use crate::request_memory::RequestMemory;
 use crate::shutdown::Signals;
 use orchidyoke_journal::{IdReservations, Journal, JournalError, OpenedJournal};
 use std::collections::HashMap;
@@ -149,6 +150,7 @@
     let size = journal.size();
     let console_connections = config.console.map_or(0, |_| console_listener::MAX_CONNECTIONS);
     let max_clients = config.limits.max_client_connections(config.settings.max_calls, console_connections);
+    let request_memory = RequestMemory::new(config.limits.request_bytes(max_clients).unwrap_or(usize::MAX));
     log!("{} starts: {} records in its journal", config.name, records.len());
     let journal_error = |source| ServeError::Journal { folder: state.to_owned(), source };
     let admission_lock = AdmissionLock::open(state).map_err(journal_error)?;
@@ -167,7 +169,7 @@
         endpoint_connections: HashMap::new(),
         peers: Rc::default(),
         inputs,
-        client_connections: ClientConnections::new(max_clients),
+        client_connections: ClientConnections::with_memory(max_clients, request_memory),
         other_journals: OtherJournals::new(state, generation, other_journals, reservations),
         admission_lock: Rc::new(admission_lock),
         watch: None,
--- a/crates/forwarder/tests/descriptors.rs
+++ b/crates/forwarder/tests/descriptors.rs
@@ -10,7 +10,7 @@
 fn all_connections_together_stay_within_the_descriptor_limit() {
     for descriptors in 64..2000 {
         for calls in [1, 3, 6, 17, descriptors / 8, descriptors / 4] {
-            let limits = Limits { max_descriptors: descriptors, disk_mb: 1.0 };
+            let limits = Limits { max_descriptors: descriptors, memory_mb: None, disk_mb: 1.0 };
             for console_connections in [0, MAX_CONNECTIONS] {
                 let (endpoint_connections, client_connections) = (
                     limits.max_endpoint_connections(calls),
--- a/crates/forwarder/tests/wire_client.rs
+++ b/crates/forwarder/tests/wire_client.rs
@@ -150,9 +150,12 @@
     let conversation = LocalSet::new().block_on(&runtime, async {
         let (client_stream, server_stream) = tokio::io::duplex(4096);
         let gateway = ClientGateway::new(unbounded_channel().0);
+        let connections = ClientConnections::new(1);
+        connections.shut_down();
+        let connection = Rc::new(connections.register());
         let service = service_fn(move |request| {
-            let gateway = gateway.clone();
-            async move { Ok::<_, Infallible>(respond(&gateway, request, true).await) }
+            let (gateway, connection) = (gateway.clone(), connection.clone());
+            async move { Ok::<_, Infallible>(respond(&gateway, request, &connection).await) }
         });
         tokio::task::spawn_local(
             http1::Builder::new().serve_connection(TokioIo::new(server_stream), service),
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -27,20 +27,34 @@
     assert!(report.count("202") > 0, "no regular client was served: {case}");
 }
 
-// Guards against hundreds of clients that stop half way through a large request, or send whole large ones, and drive
-// the process over its memory limit (issue 60).
-#[test]
-fn crowd_of_large_requests_stays_within_the_memory_limit() {
-    let runs = [CrowdBehavior::HalfBody, CrowdBehavior::HalfBodyShortFields, CrowdBehavior::WholeBodies];
-    let runs = runs.map(|behavior| {
-        thread::spawn(move || {
-            let mut scenario = CrowdScenario::new(behavior, 600);
-            scenario.crowd_time = Duration::from_secs(4);
-            (run(&format!("{behavior:?}"), &scenario), scenario)
-        })
+/// Runs a crowd of 600 clients of each kind, side by side.
+fn check_crowds(behaviors: &[CrowdBehavior]) {
+    let runs = behaviors.iter().map(|behavior| {
+        let mut scenario = CrowdScenario::new(*behavior, 600);
+        scenario.crowd_time = Duration::from_secs(4);
+        thread::spawn(move || (run(&format!("{:?}", scenario.crowd[0].behavior), &scenario), scenario))
     });
-    for run in runs {
+    for run in runs.collect::<Vec<_>>() {
         let (report, scenario) = run.join().expect("a run ends");
         check(&scenario, &report);
     }
 }
+
+// Guards against hundreds of clients that stop half way through a large request, write it slowly, or send long heads, and
+// drive the process over its memory limit (issue 60).
+#[test]
+fn crowd_of_incomplete_requests_stays_within_the_memory_limit() {
+    check_crowds(&[
+        CrowdBehavior::HalfBody,
+        CrowdBehavior::HalfBodyShortFields,
+        CrowdBehavior::TrickledBody,
+        CrowdBehavior::EndlessHead,
+    ]);
+}
+
+// Guards against connections to endpoints that each keep a copy of the largest call that they have carried, until hundreds
+// of them drive the process over its memory limit (issue 60).
+#[test]
+fn crowd_of_whole_large_requests_stays_within_the_memory_limit() {
+    check_crowds(&[CrowdBehavior::WholeBodies]);
+}
