Accept no request of a client that has reset its connection

Callers saw: a client closed its connection with an answer unread, and requests that it had sent before were sent on afterwards.

Cause: a reset leaves what has come in the socket's queue, and hyper reads that first. Behind the first answer, requests in hyper's buffer went on to the reducer although the answer had met a reset.

Change: the socket is asked for its error before each read and before each submission; the connection of a client that is gone ends there, without a response. A client that has only shut down its sending side is answered as before, so one request of a client that has closed without a reset may still be accepted: nothing tells the two apart before the first answer is written.

The test of the health check names the connection's socket, which it does not have, and the error of the response.

--- a/crates/forwarder/src/client_api.rs
+++ b/crates/forwarder/src/client_api.rs
@@ -25,6 +25,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
@@ -73,10 +74,18 @@
 
     /// Submits a message when it is its turn. The turn ends with that: from then on the reducer knows the message's id.
     /// Other processes know it once it is answered, so the reservation among them ends then.
-    async fn submit(&self, mut message: Submission, mut turn: Turn) -> SubmitAnswer {
+    async fn submit(
+        &self,
+        mut message: Submission,
+        mut turn: Turn,
+        connection: &RegisteredConnection,
+    ) -> Result<SubmitAnswer, ClientGone> {
         let read_at = Instant::now();
         if turn.wait().await.is_err() {
-            return SubmitAnswer::IdInUse;
+            return Ok(SubmitAnswer::IdInUse);
+        }
+        if connection.is_reset() {
+            return Err(ClientGone);
         }
         message.time_left -= read_at.elapsed().as_micros() as Micros;
         let request = self.next_request.get();
@@ -87,7 +96,7 @@
         self.report(Input::Submitted { request, message });
         let _reservation = turn.take_reservation();
         drop(turn);
-        receiver.await.unwrap_or(SubmitAnswer::Failed)
+        Ok(receiver.await.unwrap_or(SubmitAnswer::Failed))
     }
 
     /// Sends an input to the reducer.
@@ -144,29 +153,38 @@
     response
 }
 
+/// The reason why a request has no response: its client has reset the connection.
+#[derive(Debug, Error)]
+#[error("the client has reset the connection")]
+pub struct ClientGone;
+
 /// Answers one request of a connection: submits its message to the reducer, or reports the health of the process. In a
 /// shutdown, `/healthz` answers that the process accepts no more clients.
+///
+/// # Errors
+///
+/// The client has reset the connection before the message was submitted, so that it is not submitted.
 pub async fn respond(
     gateway: &ClientGateway,
     request: Request<Incoming>,
     connection: &RegisteredConnection,
-) -> Response<Full<Bytes>> {
+) -> Result<Response<Full<Bytes>>, ClientGone> {
     if request.headers().contains_key(TRANSFER_ENCODING) {
         // A request with both Transfer-Encoding and Content-Length can smuggle another request in its body, and hyper
         // keeps only one of the two headers.
         let text = "Content-Length alone says where a body ends\n";
-        return RequestError { status: StatusCode::LENGTH_REQUIRED, text }.into_response();
+        return Ok(RequestError { status: StatusCode::LENGTH_REQUIRED, text }.into_response());
     }
     if request.uri().path() == "/healthz" {
-        return health_response(request.method(), connection.connections().is_shutting_down());
+        return Ok(health_response(request.method(), connection.connections().is_shutting_down()));
     }
-    match read_request(gateway, request, connection).await {
+    Ok(match read_request(gateway, request, connection).await {
         // The memory stays reserved until the answer. From then on an accepted message counts against the journal's space.
         Ok(ReceivedRequest { message, turn, _memory }) => {
-            submit_response(gateway.submit(message, turn).await)
+            submit_response(gateway.submit(message, turn, connection).await?)
         }
         Err(error) => error.into_response(),
-    }
+    })
 }
 
 fn health_response(method: &Method, is_shutting_down: bool) -> Response<Full<Bytes>> {
--- a/crates/forwarder/src/client_connection.rs
+++ b/crates/forwarder/src/client_connection.rs
@@ -5,7 +5,7 @@
 //! sends is read and discarded until the client closes too. A close with unread bytes would reset the connection, and
 //! an answer that the client has not yet read would be lost.
 
-use crate::client_api::{ClientGateway, respond};
+use crate::client_api::{ClientGateway, ClientGone, respond};
 use crate::client_connections::{ClientConnections, RegisteredConnection};
 use crate::client_stream::{ClientStream, HeadProgress, MAX_READ_AHEAD_BYTES};
 use crate::input::Input;
@@ -18,14 +18,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
+use std::net::Shutdown;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -48,6 +48,7 @@
 
 /// An open connection. It stays registered until this value is dropped, which also happens when its task panics.
 struct ClientConnection {
+    stream: Rc<TcpStream>,
     registered: Rc<RegisteredConnection>,
     gateway: Rc<ClientGateway>,
     opened_at: Instant,
@@ -57,10 +58,12 @@
 }
 
 impl ClientConnection {
-    fn new(connections: &Rc<ClientConnections>, gateway: Rc<ClientGateway>) -> Rc<Self> {
+    fn new(stream: TcpStream, connections: &Rc<ClientConnections>, gateway: Rc<ClientGateway>) -> Rc<Self> {
         gateway.report(Input::ClientConnection { connected: true });
+        let stream = Rc::new(stream);
         Rc::new(ClientConnection {
-            registered: Rc::new(connections.register()),
+            registered: Rc::new(connections.register(Some(stream.clone()))),
+            stream,
             gateway,
             opened_at: Instant::now(),
             head: Rc::default(),
@@ -73,18 +76,18 @@
         self.registered.connections()
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, ClientGone> {
         self.has_sent_request.set(true);
         self.is_awaiting_answer.set(true);
         self.head.on_parsed();
-        let mut response = respond(&self.gateway, request, &self.registered).await;
+        let mut response = respond(&self.gateway, request, &self.registered).await?;
         if self.connections().is_handing_over() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         self.is_awaiting_answer.set(false);
         self.head.on_answered();
         self.registered.on_answered();
-        response
+        Ok(response)
     }
 
     /// Waits until the connection has to close, to make room for another connection or in a shutdown.
@@ -138,26 +141,29 @@
     gateway: &Rc<ClientGateway>,
     connections: &Rc<ClientConnections>,
 ) {
-    let client = ClientConnection::new(connections, gateway.clone());
+    let client = ClientConnection::new(stream, connections, gateway.clone());
     tokio::task::spawn_local(async move {
-        match stream.set_nodelay(true) {
-            Ok(()) => linger(serve(stream, &client).await, &client).await,
-            Err(error) => log!("client connection: cannot set TCP_NODELAY: error={error}"),
+        if let Err(error) = client.stream.set_nodelay(true) {
+            return log!("client connection: cannot set TCP_NODELAY: error={error}");
         }
+        serve(&client).await;
+        linger(&client).await;
     });
 }
 
-/// Serves requests until the client or the forwarder ends the connection, and returns its socket. Requests that have
-/// been read whole by then are answered.
-async fn serve(stream: TcpStream, client: &Rc<ClientConnection>) -> TcpStream {
+/// Serves requests until the client or the forwarder ends the connection. Requests that have been read whole by then are
+/// answered, unless their client is gone.
+async fn serve(client: &Rc<ClientConnection>) {
     // A connection that has sent nothing gets no buffers.
     let has_bytes = tokio::select! {
         biased;
-        () = first_bytes(&stream) => true,
+        () = first_bytes(&client.stream) => true,
         () = client.close_requested() => false,
         () = client.first_head_overdue() => false,
     };
-    if has_bytes { Box::pin(serve_requests(stream, client)).await } else { stream }
+    if has_bytes {
+        Box::pin(serve_requests(client)).await;
+    }
 }
 
 /// Waits until the client has sent something, or has closed the connection.
@@ -168,12 +174,12 @@
     {}
 }
 
-async fn serve_requests(stream: TcpStream, client: &Rc<ClientConnection>) -> TcpStream {
+async fn serve_requests(client: &Rc<ClientConnection>) {
     let service = service_fn(|request| {
         let client = client.clone();
-        Box::pin(async move { Ok::<_, Infallible>(client.respond(request).await) })
+        Box::pin(async move { client.respond(request).await })
     });
-    let stream = ClientStream::new(stream, client.head.clone(), client.registered.clone());
+    let stream = ClientStream::new(client.stream.clone(), client.head.clone(), client.registered.clone());
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
@@ -197,25 +203,25 @@
     if let Err(error) = served
         && !error.is_incomplete_message()
         && !error.is_timeout()
+        && !error.is_user()
     {
         log!("client connection: closed after an error: error={error}");
     }
-    connection.into_parts().io.into_inner().into_inner()
 }
 
 /// Shuts down the sending side, so that the client reads its last answer. Then discards what the client still sends,
 /// until the client has closed too, a limit is reached, or the connection is evicted.
-async fn linger(mut stream: TcpStream, client: &ClientConnection) {
+async fn linger(client: &ClientConnection) {
     client.registered.on_lingering();
     // An error here is ignored: the forwarder has sent everything that it owes the client.
     tokio::select! {
-        _ = timeout(LINGER_TIMEOUT, close_and_discard(&mut stream, client.connections())) => {}
+        _ = timeout(LINGER_TIMEOUT, close_and_discard(&client.stream, client.connections())) => {}
         () = client.registered.cut() => {}
     }
 }
 
-async fn close_and_discard(stream: &mut TcpStream, connections: &ClientConnections) -> io::Result<()> {
-    stream.shutdown().await?;
+async fn close_and_discard(stream: &TcpStream, connections: &ClientConnections) -> io::Result<()> {
+    SockRef::from(stream).shutdown(Shutdown::Write)?;
     let mut bytes_left = MAX_LINGER_BYTES;
     while bytes_left > 0
         && timeout(LINGER_IDLE_TIMEOUT, stream.readable()).await.is_ok_and(|ready| ready.is_ok())
--- a/crates/forwarder/src/client_connections.rs
+++ b/crates/forwarder/src/client_connections.rs
@@ -11,6 +11,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -79,12 +80,14 @@
         self.handing_over.set(true);
     }
 
-    /// Registers a connection. It stays registered until the result is dropped.
-    pub fn register(self: &Rc<Self>) -> RegisteredConnection {
+    /// Registers a connection. It stays registered until the result is dropped. Without its socket, its client never counts
+    /// as gone.
+    pub fn register(self: &Rc<Self>, socket: Option<Rc<TcpStream>>) -> RegisteredConnection {
         let id = self.limit.borrow_mut().on_connected(Instant::now());
         let signals = Rc::new(EvictionSignals::default());
         self.signals.borrow_mut().insert(id, signals.clone());
-        RegisteredConnection { id, connections: self.clone(), signals }
+        let is_reset = Cell::new(false);
+        RegisteredConnection { id, connections: self.clone(), signals, socket, is_reset }
     }
 
     pub(crate) fn subscribe_shutdown(&self) -> watch::Receiver<bool> {
@@ -182,6 +185,8 @@
     id: ConnectionId,
     connections: Rc<ClientConnections>,
     signals: Rc<EvictionSignals>,
+    socket: Option<Rc<TcpStream>>,
+    is_reset: Cell<bool>,
 }
 
 impl RegisteredConnection {
@@ -190,6 +195,18 @@
         &self.connections
     }
 
+    /// Returns whether the client has reset the connection. It reads no answer then, and what it has sent before is no
+    /// request any more. A client that has only shut down its sending side still waits for its answers.
+    pub(crate) fn is_reset(&self) -> bool {
+        // The system reports the error of a socket once.
+        let has_error =
+            || self.socket.as_ref().is_some_and(|socket| matches!(socket.take_error(), Ok(Some(_))));
+        if !self.is_reset.get() && has_error() {
+            self.is_reset.set(true);
+        }
+        self.is_reset.get()
+    }
+
     /// Records that the head of a request has been read and its body is arriving.
     pub(crate) fn on_receiving(&self) {
         self.connections.limit.borrow_mut().on_receiving(self.id, Instant::now());
--- a/crates/forwarder/src/client_stream.rs
+++ b/crates/forwarder/src/client_stream.rs
@@ -6,9 +6,11 @@
 
 use crate::client_connections::{MemoryReservation, RegisteredConnection};
 use bytes::BufMut;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -53,7 +55,7 @@
 
 /// The socket of a client connection.
 pub(crate) struct ClientStream {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     head: Rc<HeadProgress>,
     connection: Rc<RegisteredConnection>,
     growth: HeadGrowth,
@@ -71,16 +73,25 @@
 
 impl ClientStream {
     pub(crate) fn new(
-        stream: TcpStream,
+        stream: Rc<TcpStream>,
         head: Rc<HeadProgress>,
         connection: Rc<RegisteredConnection>,
     ) -> Self {
         ClientStream { stream, head, connection, growth: HeadGrowth::None }
     }
 
-    /// Returns the socket. Memory that was reserved for its read buffer is given back.
-    pub(crate) fn into_inner(self) -> TcpStream {
-        self.stream
+    fn poll_write_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 
     fn poll_grow(&mut self, context: &mut Context<'_>) -> Poll<()> {
@@ -110,6 +121,9 @@
         }
         loop {
             ready!(self.stream.poll_read_ready(context))?;
+            if self.connection.is_reset() {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
             match self.stream.try_read_buf(&mut (&mut *buffer).limit(max_bytes)) {
                 Ok(bytes) => {
                     self.head.on_read(bytes);
@@ -123,31 +137,27 @@
 }
 
 impl AsyncWrite for ClientStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write(bytes))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        self.poll_write_with(context, |stream| stream.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 }
--- a/crates/forwarder/tests/wire_client.rs
+++ b/crates/forwarder/tests/wire_client.rs
@@ -15,7 +15,6 @@
 use orchidyoke_forwarder::input::{Input, Submission, SubmitAnswer};
 use orchidyoke_forwarder::ownership::ReceivedMark;
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -152,10 +151,10 @@
         let gateway = ClientGateway::new(unbounded_channel().0);
         let connections = ClientConnections::new(1);
         connections.shut_down();
-        let connection = Rc::new(connections.register());
+        let connection = Rc::new(connections.register(None));
         let service = service_fn(move |request| {
             let (gateway, connection) = (gateway.clone(), connection.clone());
-            async move { Ok::<_, Infallible>(respond(&gateway, request, &connection).await) }
+            async move { respond(&gateway, request, &connection).await }
         });
         tokio::task::spawn_local(
             http1::Builder::new().serve_connection(TokioIo::new(server_stream), service),
