Let other tasks run after each request of a connection that always has more

Callers saw: while one client sent small requests at full speed on one connection, others got their answers late.

Cause: hyper takes up to 16 requests of a connection's buffer in one poll, and the runtime polls a task that wakes itself 61 times before it looks at the sockets again: 976 requests between two looks, several of which each new client needs.

Change: a connection that begins a request without having waited for bytes since the last one lets the others run first. A client that sends one request at a time never does.

--- a/crates/forwarder/src/client_connection.rs
+++ b/crates/forwarder/src/client_connection.rs
@@ -7,7 +7,7 @@
 
 use crate::client_api::{ClientGateway, ClientGone, respond};
 use crate::client_connections::{ClientConnections, RegisteredConnection};
-use crate::client_stream::{ClientStream, HeadProgress, MAX_READ_AHEAD_BYTES};
+use crate::client_stream::{ClientStream, HeadProgress, MAX_READ_AHEAD_BYTES, RequestTurns};
 use crate::input::Input;
 use crate::log;
 use bytes::Bytes;
@@ -53,6 +53,7 @@
     gateway: Rc<ClientGateway>,
     opened_at: Instant,
     head: Rc<HeadProgress>,
+    turns: Rc<RequestTurns>,
     has_sent_request: Cell<bool>,
     is_awaiting_answer: Cell<bool>,
 }
@@ -67,6 +68,7 @@
             gateway,
             opened_at: Instant::now(),
             head: Rc::default(),
+            turns: Rc::default(),
             has_sent_request: Cell::new(false),
             is_awaiting_answer: Cell::new(false),
         })
@@ -80,6 +82,7 @@
         self.has_sent_request.set(true);
         self.is_awaiting_answer.set(true);
         self.head.on_parsed();
+        self.turns.begin_request().await;
         let mut response = respond(&self.gateway, request, &self.registered).await?;
         if self.connections().is_handing_over() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -179,7 +182,12 @@
         let client = client.clone();
         Box::pin(async move { client.respond(request).await })
     });
-    let stream = ClientStream::new(client.stream.clone(), client.head.clone(), client.registered.clone());
+    let stream = ClientStream::new(
+        client.stream.clone(),
+        client.head.clone(),
+        client.turns.clone(),
+        client.registered.clone(),
+    );
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
--- a/crates/forwarder/src/client_stream.rs
+++ b/crates/forwarder/src/client_stream.rs
@@ -53,10 +53,35 @@
     }
 }
 
+/// Requests that a connection may begin before others have their turn, as long as its bytes do not run out.
+const MAX_REQUESTS_PER_TURN: usize = 1;
+
+/// The requests that a connection has begun since it last had to wait for bytes.
+#[derive(Debug, Default)]
+pub(crate) struct RequestTurns {
+    requests: Cell<usize>,
+}
+
+impl RequestTurns {
+    /// Begins a request. Lets the other tasks run first if the connection has had its turn.
+    pub(crate) async fn begin_request(&self) {
+        if self.requests.get() >= MAX_REQUESTS_PER_TURN {
+            tokio::task::yield_now().await;
+            self.requests.set(0);
+        }
+        self.requests.set(self.requests.get() + 1);
+    }
+
+    fn on_wait(&self) {
+        self.requests.set(0);
+    }
+}
+
 /// The socket of a client connection.
 pub(crate) struct ClientStream {
     stream: Rc<TcpStream>,
     head: Rc<HeadProgress>,
+    turns: Rc<RequestTurns>,
     connection: Rc<RegisteredConnection>,
     growth: HeadGrowth,
 }
@@ -75,9 +100,10 @@
     pub(crate) fn new(
         stream: Rc<TcpStream>,
         head: Rc<HeadProgress>,
+        turns: Rc<RequestTurns>,
         connection: Rc<RegisteredConnection>,
     ) -> Self {
-        ClientStream { stream, head, connection, growth: HeadGrowth::None }
+        ClientStream { stream, head, turns, connection, growth: HeadGrowth::None }
     }
 
     fn poll_write_with(
@@ -120,7 +146,11 @@
             max_bytes = MAX_READ_BYTES;
         }
         loop {
-            ready!(self.stream.poll_read_ready(context))?;
+            let Poll::Ready(ready) = self.stream.poll_read_ready(context) else {
+                self.turns.on_wait();
+                return Poll::Pending;
+            };
+            ready?;
             if self.connection.is_reset() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
             }
--- a/crates/forwarder/tests/closes.rs
+++ b/crates/forwarder/tests/closes.rs
@@ -352,3 +352,30 @@
         drop(idle_clients.join().expect("the thread has not panicked"));
     });
 }
+
+// Guards against a client that sends small requests at full speed and keeps others waiting: each of its requests is one
+// turn, after which other tasks run (issue 60).
+#[test]
+fn connection_with_pipelined_requests_lets_others_run_after_each() {
+    const REQUESTS: usize = 1_000;
+    run(async {
+        let forwarder = TestForwarder::new(8);
+        let requests = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".repeat(REQUESTS);
+        let mut client = client(forwarder.address, &requests);
+        client.set_nonblocking(true).expect("the socket call succeeds");
+        let (mut turns, mut answers) = (0, Vec::new());
+        let read_answers = async {
+            while String::from_utf8_lossy(&answers).matches("HTTP/1.1 200").count() < REQUESTS {
+                let mut chunk = [0; 4096];
+                match client.read(&mut chunk) {
+                    Ok(count) => answers.extend_from_slice(&chunk[..count]),
+                    Err(error) => assert_eq!(error.kind(), ErrorKind::WouldBlock),
+                }
+                tokio::task::yield_now().await;
+                turns += 1;
+            }
+        };
+        timeout(TEST_TIMEOUT, read_answers).await.expect("all requests are answered in time");
+        assert!(turns >= REQUESTS - 1, "{REQUESTS} requests took {turns} turns");
+    });
+}
