Retire the connections to an endpoint that the list no longer names

A process that comes up under the name of one that has gone could be taken for it.

Cause: an endpoint that leaves the list keeps its number while a call to it is in flight. When the list named it again meanwhile, at another address, there was no entry to compare the address with, so the connection of that call stayed in use and carried the next call to the old address, where another process may listen.

Change: all connections to endpoints that the list does not name are retired. They end their call and carry no other one; a connection that is being established is replaced by one to the present address.

The new test failed before: the second call went out to an address that the list did not name. Connections to endpoints that stay listed are not touched.

--- a/crates/forwarder/src/reducer/listed_endpoints.rs
+++ b/crates/forwarder/src/reducer/listed_endpoints.rs
@@ -93,6 +93,8 @@
             updates.push(self.endpoint_update(now, id, listed.into()));
         }
         self.endpoints.apply(event, new_endpoints, &updates);
+        // If the list names an unlisted endpoint again, another process may have its name, at any address.
+        self.endpoints.unlisted().iter().for_each(|id| self.pool.retire(*id));
         self.controller.push(Event::EndpointList { kind, entries: updates });
     }
 
--- a/crates/forwarder/tests/reducer_calls.rs
+++ b/crates/forwarder/tests/reducer_calls.rs
@@ -6,6 +6,7 @@
 use common::shape::Shape;
 use common::steps::Step;
 use common::world::World;
+use orchidyoke_core::interface::EndpointState;
 use orchidyoke_forwarder::connection_pool::REUSE_DELAY_US;
 use orchidyoke_forwarder::endpoint_call::{Cause, EndpointCallError, EndpointReply, Progress};
 use orchidyoke_forwarder::input::Input;
@@ -82,6 +83,40 @@
     assert_eq!(world.connections[&connection_id].address, "127.0.0.1:42");
 }
 
+// Guards against a process that comes up under the name of one that has gone and is taken for it: a connection that was
+// busy while the list did not name the endpoint carried the next call to the old address (issue 60).
+#[test]
+fn relisted_endpoint_gets_no_call_at_its_old_address() {
+    let mut world = World::new();
+    world.submit("a".to_owned(), false, 2, 10);
+    world.wait(10_000);
+    world.step(0, Step::Connect { selector: 0, established: true });
+    let old_connection =
+        world.pick_connection(0, |connection| connection.call.is_some()).expect("the call is written");
+    for (state, port) in [(EndpointState::Removed, None), (EndpointState::Active, Some(41))] {
+        world.list_version += 1;
+        world.list[2].state = state;
+        if let Some(port) = port {
+            world.list[2].address.set_port(port);
+        }
+        let entries = vec![world.list[2].clone()];
+        world.update_list(entries);
+    }
+    world.answer(0, 0);
+    // Longer than a connection rests before it may be used again.
+    world.wait(600_000);
+    world.submit("b".to_owned(), false, 2, 10);
+    world.wait(10_000);
+    assert!(
+        world.connections.get(&old_connection).is_none_or(|connection| connection.call.is_none()),
+        "the call goes to the process that has gone"
+    );
+    world.step(0, Step::Connect { selector: 0, established: true });
+    let connection_id =
+        world.pick_connection(0, |connection| connection.call.is_some()).expect("the call is written");
+    assert_eq!(world.connections[&connection_id].address, "127.0.0.1:41");
+}
+
 // Guards against a delivery that counts as a failure of its endpoint. One message of the call had reached its deadline
 // before the reply came, and its result in the reply was no longer found.
 #[test]
