--- a/crates/forwarder/src/client_api/request_body.rs
+++ b/crates/forwarder/src/client_api/request_body.rs
@@ -2,6 +2,7 @@
 
 use super::RequestError;
 use crate::client_connections::{MemoryReservation, RegisteredConnection};
+use crate::log;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -76,6 +77,9 @@
     tokio::select! {
         biased;
         reservation = timeout(MEMORY_TIMEOUT, connection.reserve_body(bytes)) => {
+            if reservation.is_err() {
+                log!("request refused, no memory: client={} bytes={bytes}", connection.id());
+            }
             reservation.map(Some).map_err(|_| no_memory)
         }
         () = connection.receiving_stopped() => Err(no_memory),
--- a/crates/forwarder/src/client_connection.rs
+++ b/crates/forwarder/src/client_connection.rs
@@ -211,9 +211,8 @@
     if let Err(error) = served
         && !error.is_incomplete_message()
         && !error.is_timeout()
-        && !error.is_user()
     {
-        log!("client connection: closed after an error: error={error}");
+        log!("client connection: closed after an error: client={} error={error}", client.registered.id());
     }
 }
 
--- a/crates/forwarder/src/client_connections.rs
+++ b/crates/forwarder/src/client_connections.rs
@@ -6,6 +6,7 @@
 
 use crate::config::Limits;
 use crate::connection_limit::{ConnectionId, ConnectionLimit, Eviction};
+use crate::log;
 use crate::request_memory::{MemoryPermit, RequestMemory};
 use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
@@ -137,7 +138,10 @@
     pub(crate) fn evict(&self) -> bool {
         let Some(eviction) = self.limit.borrow_mut().evict(Instant::now()) else { return false };
         match eviction {
-            Eviction::Close(id) => self.signal(id, EvictionSignals::request_close),
+            Eviction::Close(id) => {
+                log!("client connection: evicted: client={id} reason=places");
+                self.signal(id, EvictionSignals::request_close);
+            }
             Eviction::Cut(id) => self.signal(id, |signals| signals.cut.notify_one()),
         }
         true
@@ -168,6 +172,7 @@
         loop {
             let evicted = self.limit.borrow_mut().evict_for_memory(missing_bytes, Instant::now());
             let Some(id) = evicted else { return };
+            log!("client connection: evicted: client={id} reason=memory missing_bytes={missing_bytes}");
             self.signal(id, EvictionSignals::request_close);
         }
     }
@@ -190,6 +195,11 @@
 }
 
 impl RegisteredConnection {
+    /// Returns its id, which names it in the log.
+    pub(crate) fn id(&self) -> ConnectionId {
+        self.id
+    }
+
     /// Returns the set that it belongs to.
     pub fn connections(&self) -> &Rc<ClientConnections> {
         &self.connections
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -150,8 +150,10 @@
     let size = journal.size();
     let console_connections = config.console.map_or(0, |_| console_listener::MAX_CONNECTIONS);
     let max_clients = config.limits.max_client_connections(config.settings.max_calls, console_connections);
-    let request_memory = RequestMemory::new(config.limits.request_bytes(max_clients).unwrap_or(usize::MAX));
+    let request_bytes = config.limits.request_bytes(max_clients).unwrap_or(usize::MAX);
+    let request_memory = RequestMemory::new(request_bytes);
     log!("{} starts: {} records in its journal", config.name, records.len());
+    log!("client limits: connections={max_clients} request_bytes={request_bytes}");
     let journal_error = |source| ServeError::Journal { folder: state.to_owned(), source };
     let admission_lock = AdmissionLock::open(state).map_err(journal_error)?;
     let reservations = expects_others.then(|| IdReservations::open(state)).transpose();
