--- a/tests/leaving_clients.rs
+++ b/tests/leaving_clients.rs
@@ -14,14 +14,19 @@
 const DELIVERY_TIME: Duration = Duration::from_millis(500);
 
 struct TestForwarder {
+    program: &'static Path,
     process: ForwarderProcess,
     destination: DestinationServer,
-    _discovery: DiscoveryServer,
-    _folder: TemporaryFolder,
+    discovery: DiscoveryServer,
+    folder: TemporaryFolder,
 }
 
 impl TestForwarder {
     fn start(name: &str) -> Self {
+        TestForwarder::start_with(name, |program, folder| ForwarderProcess::start(program, folder, &[]))
+    }
+
+    fn start_with(name: &str, start: impl Fn(&Path, &TemporaryFolder) -> ForwarderProcess) -> Self {
         let destination = DestinationServer::new(CapacityModel::default());
         let discovery = DiscoveryServer::start("");
         let folder = TemporaryFolder::new(name);
@@ -29,8 +34,8 @@
         config.endpoints = vec![endpoint_entry("s-1", destination.open_endpoint(), 2)];
         folder.write("config.json", &config.text());
         let program = Path::new(env!("CARGO_BIN_EXE_orchidyoke"));
-        let process = ForwarderProcess::start(program, &folder, &[]);
-        TestForwarder { process, destination, _discovery: discovery, _folder: folder }
+        let process = start(program, &folder);
+        TestForwarder { program, process, destination, discovery, folder }
     }
 
     fn delivered(&self) -> Vec<String> {
@@ -44,6 +49,17 @@
             std::thread::sleep(Duration::from_millis(5));
         }
     }
+
+    /// Waits until a message is delivered or ended by a notification.
+    fn wait_for_final_answer(&self, id: &str) {
+        let deadline = Instant::now() + TIMEOUT;
+        while !self.delivered().iter().any(|delivered| delivered == id)
+            && !self.discovery.notifications().contains_key(id)
+        {
+            assert!(Instant::now() < deadline, "{id} has no final answer");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
 }
 
 fn request(id: &str, body_bytes: usize) -> String {
@@ -99,3 +115,73 @@
     client.read_to_string(&mut answers).expect("answers read");
     assert_eq!(answers.matches("HTTP/1.1 202").count(), 20, "{answers}");
 }
+
+/// How a client leaves after its request.
+#[derive(Clone, Copy, Debug)]
+enum Leaving {
+    /// It closes its connection.
+    Close,
+    /// It closes its connection with an answer unread, which resets it.
+    Reset,
+    /// It shuts down its sending side.
+    HalfClose,
+}
+
+// Guards against an id that is executed twice when it comes again at the other process of an upgrade after its client has
+// left (issue 60).
+#[test]
+fn id_that_comes_again_at_the_successor_is_executed_once() {
+    const ROUNDS: usize = 30;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener bound");
+    let address = listener.local_addr().expect("address of the listener");
+    let start = |program: &Path, folder: &TemporaryFolder| {
+        ForwarderProcess::start_with_listener(program, folder, &listener).0
+    };
+    let forwarder = TestForwarder::start_with("leaving-upgrade", start);
+    // These connections stay with the predecessor.
+    let mut kept: Vec<TcpStream> = (0..ROUNDS).map(|_| client_with_unread_answer(address)).collect();
+    let successor = start(forwarder.program, &forwarder.folder);
+    let mut accepted = Vec::new();
+    for (number, client) in kept.iter_mut().enumerate() {
+        let leaving = [Leaving::Close, Leaving::Reset, Leaving::HalfClose][number % 3];
+        let id = format!("{leaving:?}-{number}");
+        if !matches!(leaving, Leaving::Reset) {
+            read_answer(client);
+        }
+        client.write_all(request(&id, 300).as_bytes()).expect("bytes sent");
+        match leaving {
+            Leaving::HalfClose => client.shutdown(std::net::Shutdown::Write).expect("sending side shut down"),
+            Leaving::Close | Leaving::Reset => {
+                // Replacing the stream closes it.
+                *client = TcpStream::connect(address).expect("connected");
+            }
+        }
+        std::thread::sleep(Duration::from_millis(number as u64 % 7));
+        let mut again = TcpStream::connect(address).expect("connected");
+        again.set_read_timeout(Some(TIMEOUT)).expect("read timeout set");
+        again.write_all(request(&id, 300).as_bytes()).expect("bytes sent");
+        if read_answer(&mut again).starts_with("HTTP/1.1 202") {
+            accepted.push(id);
+        }
+    }
+    assert!(accepted.len() > ROUNDS / 2, "{accepted:?}");
+    forwarder.process.signal("TERM");
+    accepted.iter().for_each(|id| forwarder.wait_for_final_answer(id));
+    std::thread::sleep(DELIVERY_TIME);
+    let delivered = forwarder.delivered();
+    let distinct: std::collections::BTreeSet<_> = delivered.iter().collect();
+    assert_eq!(delivered.len(), distinct.len(), "an order was sent twice: {delivered:?}");
+    drop(successor);
+}
+
+/// Reads an answer and returns its text.
+fn read_answer(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut chunk = [0; 1024];
+    while !String::from_utf8_lossy(&text).contains("\r\n\r\n") {
+        let count = stream.read(&mut chunk).expect("an answer");
+        assert!(count > 0, "the connection is closed: {}", String::from_utf8_lossy(&text));
+        text.extend_from_slice(&chunk[..count]);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
