--- a/crates/forwarder/src/client_connection.rs
+++ b/crates/forwarder/src/client_connection.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use std::cell::Cell;
+use std::error::Error;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::Shutdown;
@@ -212,7 +213,11 @@
         && !error.is_incomplete_message()
         && !error.is_timeout()
     {
-        log!("client connection: closed after an error: client={} error={error}", client.registered.id());
+        let cause = error.source().map_or_else(String::new, |source| format!(": {source}"));
+        log!(
+            "client connection: closed after an error: client={} error={error}{cause}",
+            client.registered.id()
+        );
     }
 }
 
