Answer or refuse each request that has begun to arrive before a shutdown exits

What callers saw: at a planned restart a client that had kept its connection wrote the last byte of its request in the milliseconds before the process ended, 3.5 s after SIGTERM. It got no answer; its connection ended.

Cause: the exit followed a clock alone. `advance_shutdown` asked for the exit 250 ms after the end of accepting, and `serve.rs` left its loop at once. Nothing said when reading ends, so up to that instant requests were read that nobody could answer any more: bytes on the socket, in hyper's buffer, in half a body, in the channel of inputs, waiting for a round, or decided and not written. A second one: a connection that had read a part of a head counted as idle and was closed 3.25 s after SIGTERM with no answer. A stall made both worse, because the clock said "too late" while bytes that had come in time lay unread.

Change: the shutdown has stages (`reducer/shutdown.rs`). Clients are accepted until 3.25 s; requests that have begun, heads included, are read until 3.5 s (`Effect::StopReading`); then each connection reads what the system holds, without the runtime's readiness, until nothing moves (`client_close::process_arrived`). A request that is whole by then is decided on without waiting for a tick, and answered. One that is not is answered 503 with `Connection: close`, in the head or in the body, so that its client has an answer whenever its rest comes; the sending side is shut down and the rest is read and dropped. A connection reports when nothing is owed (`Input::ClientServed`), the listener when its queue is empty (`Input::ListenerClosed`). The exit follows from that state and 50 ms of lingering; the clock is its last resort, 3.68 s after SIGTERM. A request whose answer is overdue as its connection closes is withdrawn and answered 503, where it was closed with no answer. At the limit on connections the queue of the listener is emptied as places become free; it was reset. Deregistering from the fleet ends with the same last resort.

Why it works: nothing is read after the last read, whatever was read before it is decided on, and the exit waits until each decision is written, so no order of bytes and clock is left in which a read request has no answer.

`closes.rs` and `reducer_submissions.rs` test each step; they need the new inputs and do not compile on the code before. `cut_request_is_withdrawn` asserted that the client gets no answer; its successor `overdue_request_is_withdrawn_and_refused` asserts the 503 besides. In `shutdown_ends_in_time_and_answers_every_request` the connection reports that its client has its answer, as connections do now.

--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -20,6 +20,7 @@
 mod progress;
 mod report;
 mod rollout_stop;
+mod shutdown_requests;
 mod statistics;
 mod surplus_responses;
 mod test_bed;
@@ -62,7 +63,7 @@
     run: fn(&RunOptions) -> Result<ExperimentReport, ExperimentError>,
 }
 
-const EXPERIMENTS: [Experiment; 13] = [
+const EXPERIMENTS: [Experiment; 14] = [
     Experiment {
         name: "capacity-forwarder",
         shows: "one forwarder's cost by destinations listed and messages waiting, as lines, against the aims",
@@ -135,6 +136,12 @@
         sabotage: "a tenth of the memory is allowed",
         run: client_crowd::run_table,
     },
+    Experiment {
+        name: "shutdown-requests",
+        shows: "requests that arrive in parts around the end of a forwarder, amid stalls and signals: answers, messages",
+        sabotage: "each process is stopped until its time is over",
+        run: shutdown_requests::run,
+    },
     Experiment {
         name: "capacity-control",
         shows: "50, 150 and 450 forwarders without traffic: what control costs at rest, with changes and restarts, in losses",
--- a/crates/fakes/src/forwarder/config.rs
+++ b/crates/fakes/src/forwarder/config.rs
@@ -22,6 +22,8 @@
     pub disk_mb: f64,
     /// Number of forwarders that share the destinations.
     pub fleet_size: usize,
+    /// Tick of the controller, in microseconds.
+    pub tick_us: u64,
 }
 
 impl ForwarderConfig {
@@ -36,6 +38,7 @@
             memory_mb: 512,
             disk_mb: 32.0,
             fleet_size: 1,
+            tick_us: 5000,
         }
     }
 
@@ -61,7 +64,7 @@
             "fleet_size": self.fleet_size,
             "host_types": ["one", "many"],
             "registry_mode": "pushed",
-            "tick_us": 5000,
+            "tick_us": self.tick_us,
             "weights": "nominal",
             "classes": [
                 class("status", "retryable", 2_000_000, 12_000_000),
--- a/crates/fakes/src/forwarder/process.rs
+++ b/crates/fakes/src/forwarder/process.rs
@@ -3,6 +3,7 @@
 use super::submit_message;
 use crate::TemporaryFolder;
 use crate::signal::send_signal;
+use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -121,6 +122,13 @@
         send_signal(self.child.id(), name);
     }
 
+    /// Returns whether the forwarder has ended. Its process id stays its own, because it is not waited for.
+    pub fn has_ended(&self) -> bool {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("its process exists");
+        // The state follows the program's name, which stands in parentheses (proc_pid_stat(5)).
+        stat.rsplit_once(") ").is_some_and(|(_, fields)| fields.starts_with('Z'))
+    }
+
     /// Waits until the forwarder exits.
     pub fn wait(mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod forwarder;
 mod line_protocol;
 mod runtime;
+pub mod shutdown_requests;
 mod signal;
 pub mod surplus_responses;
 mod temporary_folder;
--- /dev/null
+++ b/crates/fakes/src/shutdown_requests/scenario.rs
@@ -0,0 +1,226 @@
+//! Runs one forwarder, its clients, and what falls into its shutdown.
+
+use super::client::{Client, LastRequest, MESSAGE_LIFETIME_S, RequestRecord};
+use super::report::{ShutdownReport, TERMINATION_GRACE, unfinished};
+use crate::destination::{CapacityModel, DestinationServer};
+use crate::forwarder::{ForwarderConfig, ForwarderProcess, endpoint_entry};
+use crate::signal::send_signal;
+use crate::{DiscoveryServer, TemporaryFolder};
+use fastrand::Rng;
+use std::ops::Range;
+use std::path::Path;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Time that the endpoint takes for a message.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Time from the start of the clients to SIGTERM.
+const WARM_UP: Duration = Duration::from_millis(500);
+/// Time from SIGKILL to the next start.
+const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// Interval at which the end of the process and of the messages is looked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// Time after the last deadline in which a notification may still arrive.
+const NOTIFICATION_MARGIN: Duration = Duration::from_millis(1_800);
+/// Lines of the log that are kept.
+const KEPT_LOG_LINES: usize = 12;
+/// Share of the scenarios with a stall.
+const STALL_SHARE: f64 = 0.6;
+/// Ticks that deployments set, in microseconds.
+const TICKS_US: [u64; 3] = [2_000, 5_000, 20_000];
+/// Lengths of a stall, in milliseconds.
+const STALLS_MS: [u64; 3] = [50, 100, 150];
+
+/// A time in which the process does not run.
+#[derive(Clone, Copy, Debug)]
+pub struct Stall {
+    /// When it begins, after SIGTERM.
+    pub at: Duration,
+    /// How long it is.
+    pub length: Duration,
+}
+
+/// A signal in the shutdown.
+#[derive(Clone, Copy, Debug)]
+pub struct TimedSignal {
+    /// When it is sent, after SIGTERM.
+    pub at: Duration,
+    /// Its name, such as `HUP`.
+    pub name: &'static str,
+}
+
+/// The parameters of a run.
+#[derive(Clone, Debug)]
+pub struct ShutdownScenario {
+    /// Seed of the clients.
+    pub seed: u64,
+    /// Number of clients with a connection each.
+    pub clients: usize,
+    /// Time in which the last requests begin, in milliseconds after SIGTERM.
+    pub last_requests_begin_ms: Range<u64>,
+    /// Time in which the last byte of the last requests is written, in milliseconds after SIGTERM.
+    pub last_bytes_ms: Range<u64>,
+    /// Whether bodies may have up to 64 KiB.
+    pub has_large_bodies: bool,
+    /// The controller's tick, in microseconds.
+    pub tick_us: u64,
+    /// A stall in the shutdown.
+    pub stall: Option<Stall>,
+    /// Signals besides the first SIGTERM.
+    pub signals: Vec<TimedSignal>,
+}
+
+impl ShutdownScenario {
+    /// Returns a run whose last requests are whole around the end of the process.
+    pub fn new(seed: u64) -> Self {
+        ShutdownScenario {
+            seed,
+            clients: 60,
+            last_requests_begin_ms: 3_170..3_200,
+            last_bytes_ms: 3_470..3_520,
+            has_large_bodies: false,
+            tick_us: TICKS_US[1],
+            stall: None,
+            signals: Vec::new(),
+        }
+    }
+
+    /// Draws the parameters of a run from its seed.
+    pub fn draw(seed: u64) -> Self {
+        let mut random = Rng::with_seed(seed);
+        let first_byte = random.u64(3_050..3_240);
+        let last_byte = random.u64(3_250..3_520);
+        let stall = Stall {
+            at: Duration::from_millis(random.u64(320..356) * 10),
+            length: Duration::from_millis(STALLS_MS[random.usize(..STALLS_MS.len())]),
+        };
+        let signals = (0..random.usize(..4)).map(|_| TimedSignal {
+            at: Duration::from_millis(random.u64(1..3_550)),
+            name: if random.bool() { "HUP" } else { "TERM" },
+        });
+        let signals = signals.collect();
+        ShutdownScenario {
+            seed,
+            clients: random.usize(20..100),
+            last_requests_begin_ms: first_byte..first_byte + random.u64(1..50),
+            last_bytes_ms: last_byte..last_byte + random.u64(1..60),
+            has_large_bodies: random.u8(..4) == 0,
+            tick_us: TICKS_US[random.usize(..TICKS_US.len())],
+            signals,
+            stall: (random.f64() < STALL_SHARE).then_some(stall),
+        }
+    }
+
+    /// Runs the forwarder `program`. `name` must be unique within this process.
+    pub fn run(&self, program: &Path, name: &str) -> ShutdownReport {
+        let destination =
+            DestinationServer::new(CapacityModel { service_time: SERVICE_TIME, ..CapacityModel::default() });
+        let discovery = DiscoveryServer::start("");
+        let folder = self.folder(name, &destination, &discovery);
+        let mut forwarder = ForwarderProcess::start(program, &folder, &[]);
+        let terminated_at = Instant::now() + WARM_UP;
+        let clients = self.start_clients(&forwarder, name, terminated_at);
+        let signals = self.start_signals(forwarder.pid(), terminated_at);
+        let mut report = ShutdownReport::default();
+        wait_for_exit(&forwarder, terminated_at, &mut report);
+        signals.join().expect("the signals are sent");
+        forwarder.kill_now();
+        let records: Vec<RequestRecord> =
+            clients.into_iter().flat_map(|client| client.join().expect("a client ends")).collect();
+        let log: Vec<_> = forwarder.log.try_iter().collect();
+        report.log = log[log.len().saturating_sub(KEPT_LOG_LINES)..].to_vec();
+        drop(forwarder);
+        thread::sleep(RESTART_DELAY);
+        let next = ForwarderProcess::start(program, &folder, &[]);
+        wait_for_messages(&records, &destination, &discovery);
+        drop(next);
+        report.add_requests(&records, terminated_at);
+        report.add_messages(&records, &destination, &discovery);
+        report
+    }
+
+    fn folder(
+        &self,
+        name: &str,
+        destination: &DestinationServer,
+        discovery: &DiscoveryServer,
+    ) -> TemporaryFolder {
+        let folder = TemporaryFolder::new(name);
+        let mut config = ForwarderConfig::new(discovery.address());
+        config.endpoints = vec![endpoint_entry("s-1", destination.open_endpoint(), 2)];
+        config.tick_us = self.tick_us;
+        folder.write("config.json", &config.text());
+        folder
+    }
+
+    fn start_clients(
+        &self,
+        forwarder: &ForwarderProcess,
+        name: &str,
+        terminated_at: Instant,
+    ) -> Vec<JoinHandle<Vec<RequestRecord>>> {
+        let mut random = Rng::with_seed(self.seed);
+        let mut after_sigterm = |range: &Range<u64>| {
+            let micros = random.u64(range.start * 1_000..range.end * 1_000);
+            terminated_at + Duration::from_micros(micros)
+        };
+        let mut clients = Vec::new();
+        for number in 0..self.clients {
+            let client = Client {
+                name: format!("{name}-{number}"),
+                seed: self.seed.wrapping_mul(1_000).wrapping_add(number as u64),
+                address: forwarder.address,
+                last_request: LastRequest {
+                    begins_at: after_sigterm(&self.last_requests_begin_ms),
+                    completes_at: after_sigterm(&self.last_bytes_ms),
+                },
+                has_large_bodies: self.has_large_bodies,
+            };
+            clients.push(thread::spawn(move || client.run()));
+        }
+        clients
+    }
+
+    /// Sends SIGTERM and all other signals in their order.
+    fn start_signals(&self, pid: u32, terminated_at: Instant) -> JoinHandle<()> {
+        let mut signals = vec![TimedSignal { at: Duration::ZERO, name: "TERM" }];
+        signals.extend(&self.signals);
+        if let Some(Stall { at, length }) = self.stall {
+            signals.push(TimedSignal { at, name: "STOP" });
+            signals.push(TimedSignal { at: at + length, name: "CONT" });
+        }
+        signals.sort_by_key(|signal| signal.at);
+        thread::spawn(move || {
+            for signal in signals {
+                let at = terminated_at + signal.at;
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                send_signal(pid, signal.name);
+            }
+        })
+    }
+}
+
+/// Waits until the process has ended, or until the end of the grace period. The process keeps its id, so that signals
+/// may still be sent to it.
+fn wait_for_exit(forwarder: &ForwarderProcess, terminated_at: Instant, report: &mut ShutdownReport) {
+    loop {
+        report.ended_after = terminated_at.elapsed();
+        report.has_exited = forwarder.has_ended();
+        if report.has_exited || report.ended_after >= TERMINATION_GRACE {
+            return;
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Waits until each accepted message has ended, or is overdue.
+fn wait_for_messages(
+    records: &[RequestRecord],
+    destination: &DestinationServer,
+    discovery: &DiscoveryServer,
+) {
+    let deadline = Instant::now() + Duration::from_secs(MESSAGE_LIFETIME_S) + NOTIFICATION_MARGIN;
+    while Instant::now() < deadline && !unfinished(records, destination, discovery).is_empty() {
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/crates/forwarder/src/client_api.rs
+++ b/crates/forwarder/src/client_api.rs
@@ -73,7 +73,9 @@
     }
 
     /// Submits a message when it is its turn. The turn ends with that: from then on the reducer knows the message's id.
-    /// Other processes know it once it is answered, so the reservation among them ends then.
+    /// Other processes know it once it is answered, so the reservation among them ends then. A message whose answer is
+    /// overdue as its connection has to close is withdrawn and refused: the reducer has not accepted it by then, and
+    /// learns of the withdrawal before its next round.
     async fn submit(
         &self,
         mut message: Submission,
@@ -81,7 +83,13 @@
         connection: &RegisteredConnection,
     ) -> Result<SubmitAnswer, ClientGone> {
         let read_at = Instant::now();
-        if turn.wait().await.is_err() {
+        let mut answer_overdue = pin!(connection.answer_overdue());
+        let is_first = tokio::select! {
+            biased;
+            waited = turn.wait() => waited.is_ok(),
+            () = answer_overdue.as_mut() => false,
+        };
+        if !is_first {
             return Ok(SubmitAnswer::IdInUse);
         }
         if connection.is_reset() {
@@ -96,7 +104,11 @@
         self.report(Input::Submitted { request, message });
         let _reservation = turn.take_reservation();
         drop(turn);
-        Ok(receiver.await.unwrap_or(SubmitAnswer::Failed))
+        Ok(tokio::select! {
+            biased;
+            answer = receiver => answer.unwrap_or(SubmitAnswer::Failed),
+            () = answer_overdue => SubmitAnswer::Rejected(0),
+        })
     }
 
     /// Sends an input to the reducer.
@@ -132,6 +144,8 @@
     const BODY_TOO_LARGE: RequestError =
         RequestError { status: StatusCode::PAYLOAD_TOO_LARGE, text: "the body is over 64 KiB\n" };
 
+    const ENDING: RequestError = RequestError { status: StatusCode::SERVICE_UNAVAILABLE, text: "ending\n" };
+
     const INCOMPLETE_BODY: RequestError =
         RequestError { status: StatusCode::REQUEST_TIMEOUT, text: "the body did not come\n" };
 
--- a/crates/forwarder/src/client_api/request_body.rs
+++ b/crates/forwarder/src/client_api/request_body.rs
@@ -39,13 +39,22 @@
     let received = tokio::select! {
         biased;
         received = timeout(BODY_TIMEOUT, receive(body, announced_bytes, connection)) => received,
-        () = connection.receiving_stopped() => return Err(RequestError::INCOMPLETE_BODY),
+        () = connection.receiving_stopped() => return Err(refusal(connection)),
     };
     let received = received.map_err(|_| RequestError::INCOMPLETE_BODY)??;
     connection.on_request();
     Ok(received)
 }
 
+/// Returns the answer to a request whose body is not waited for any more. In a shutdown, its client may send it again.
+fn refusal(connection: &RegisteredConnection) -> RequestError {
+    if connection.connections().has_stopped_reading() {
+        RequestError::ENDING
+    } else {
+        RequestError::INCOMPLETE_BODY
+    }
+}
+
 async fn receive(
     mut body: Incoming,
     announced_bytes: usize,
--- a/crates/forwarder/src/client_connections.rs
+++ b/crates/forwarder/src/client_connections.rs
@@ -21,9 +21,25 @@
 const DISCARD_BUFFER_BYTES: usize = 64 << 10;
 /// Interval at which connections are evicted while requests wait for memory.
 const MEMORY_EVICTION_INTERVAL: Duration = Duration::from_millis(10);
+/// Limit on the time from the request to close a connection until its last request is decided on. It exceeds the 400 ms
+/// after which a client gives up.
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same from the end of reading in a shutdown, after which the process exits soon.
+const LAST_DECISION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest wait for a place when no request becomes overdue earlier.
 const MAX_ROOM_WAIT: Duration = Duration::from_secs(1);
 
+/// What clients still get, from the most to the least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ClientService {
+    /// Connections and requests are accepted.
+    Full,
+    /// Requests that have begun to arrive are read and answered.
+    RequestsInProgress,
+    /// Nothing is read. Requests that have arrived whole are answered.
+    AnswersOnly,
+}
+
 /// The open client connections and the limits on them.
 pub struct ClientConnections {
     limit: RefCell<ConnectionLimit>,
@@ -32,7 +48,7 @@
     memory: RequestMemory,
     is_evicting_for_memory: Cell<bool>,
     discard_buffer: RefCell<Box<[u8]>>,
-    shutting_down: watch::Sender<bool>,
+    service: watch::Sender<ClientService>,
     handing_over: Cell<bool>,
 }
 
@@ -65,14 +81,27 @@
             memory,
             is_evicting_for_memory: Cell::new(false),
             discard_buffer: RefCell::new(vec![0; DISCARD_BUFFER_BYTES].into()),
-            shutting_down: watch::Sender::new(false),
+            service: watch::Sender::new(ClientService::Full),
             handing_over: Cell::new(false),
         })
     }
 
-    /// Starts the graceful shutdown, in which each connection closes once its request is answered.
+    /// Starts the graceful shutdown. A connection without a request closes. Any other closes once its request is answered.
     pub fn shut_down(&self) {
-        self.shutting_down.send_replace(true);
+        self.reduce_service(ClientService::RequestsInProgress);
+    }
+
+    /// Has the connections read no more. Requests that have arrived whole are answered, and all others refused.
+    pub fn stop_reading(&self) {
+        self.reduce_service(ClientService::AnswersOnly);
+    }
+
+    fn reduce_service(&self, service: ClientService) {
+        self.service.send_if_modified(|current| {
+            let is_reduced = *current < service;
+            *current = service.max(*current);
+            is_reduced
+        });
     }
 
     /// Starts the handover of the clients to a successor process. Each connection closes after its next answer, which
@@ -91,12 +120,18 @@
         RegisteredConnection { id, connections: self.clone(), signals, socket, is_reset }
     }
 
-    pub(crate) fn subscribe_shutdown(&self) -> watch::Receiver<bool> {
-        self.shutting_down.subscribe()
+    /// Waits until the service is reduced to this or less.
+    pub(crate) async fn reduced_to(&self, service: ClientService) {
+        // Fails only without a sender, which this value holds.
+        let _ = self.service.subscribe().wait_for(|current| *current >= service).await;
     }
 
     pub(crate) fn is_shutting_down(&self) -> bool {
-        *self.shutting_down.borrow()
+        *self.service.borrow() >= ClientService::RequestsInProgress
+    }
+
+    pub(crate) fn has_stopped_reading(&self) -> bool {
+        *self.service.borrow() >= ClientService::AnswersOnly
     }
 
     pub(crate) fn is_handing_over(&self) -> bool {
@@ -181,7 +216,7 @@
 impl EvictionSignals {
     fn request_close(&self) {
         self.is_closing.set(true);
-        self.close.notify_one();
+        self.close.notify_waiters();
     }
 }
 
@@ -246,11 +281,6 @@
         }
     }
 
-    /// Returns whether the connection is evicted.
-    pub(crate) fn is_evicted(&self) -> bool {
-        self.signals.is_closing.get()
-    }
-
     /// Ends the wait for the rest of a request.
     pub(crate) fn stop_receiving(&self) {
         self.signals.stop_receiving.notify_one();
@@ -261,6 +291,23 @@
         self.signals.stop_receiving.notified().await;
     }
 
+    /// Waits until the last answer of the connection is overdue, because the connection has to close.
+    pub(crate) async fn answer_overdue(&self) {
+        tokio::select! {
+            () = async {
+                tokio::select! {
+                    () = self.evicted() => {}
+                    () = self.connections.reduced_to(ClientService::RequestsInProgress) => {}
+                }
+                sleep(LAST_ANSWER_TIMEOUT).await;
+            } => {}
+            () = async {
+                self.connections.reduced_to(ClientService::AnswersOnly).await;
+                sleep(LAST_DECISION_TIMEOUT).await;
+            } => {}
+        }
+    }
+
     /// Waits until a lingering close has to end.
     pub(crate) async fn cut(&self) {
         self.signals.cut.notified().await;
--- a/crates/forwarder/src/client_listener.rs
+++ b/crates/forwarder/src/client_listener.rs
@@ -5,8 +5,10 @@
 
 use crate::client_api::ClientGateway;
 use crate::client_connection::spawn_connection;
-use crate::client_connections::ClientConnections;
+use crate::client_connections::{ClientConnections, ClientService};
+use crate::input::Input;
 use crate::log;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -17,14 +19,13 @@
 
 /// Accepts connections until the forwarder shuts down. Runs in a `LocalSet`.
 pub async fn listen(listener: TcpListener, gateway: Rc<ClientGateway>, connections: Rc<ClientConnections>) {
-    let mut shutting_down = connections.subscribe_shutdown();
     loop {
         let accepted = tokio::select! {
             accepted = async {
                 connections.make_room().await;
                 listener.accept().await
             } => accepted,
-            _ = shutting_down.wait_for(|shutting_down| *shutting_down) => break,
+            () = connections.reduced_to(ClientService::RequestsInProgress) => break,
         };
         match accepted {
             Ok((stream, _)) => spawn_connection(stream, &gateway, &connections),
@@ -35,18 +36,39 @@
             }
         }
     }
-    accept_backlog(listener, &gateway, &connections);
+    accept_backlog(listener, &gateway, &connections).await;
+    gateway.report(Input::ListenerClosed);
 }
 
-/// Accepts the connections that the system has queued, because closing the listener would reset them.
-fn accept_backlog(listener: TcpListener, gateway: &Rc<ClientGateway>, connections: &Rc<ClientConnections>) {
+/// Accepts the connections that the system has queued, because closing the listener would reset them. At the limit on
+/// connections, waits for others to close, until the forwarder reads no more requests.
+async fn accept_backlog(
+    listener: TcpListener,
+    gateway: &Rc<ClientGateway>,
+    connections: &Rc<ClientConnections>,
+) {
     let Ok(listener) = listener.into_std() else { return };
-    while !connections.is_full()
-        && let Ok((stream, _)) = listener.accept()
-    {
-        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-        if let Ok(stream) = stream {
-            spawn_connection(stream, gateway, connections);
+    loop {
+        tokio::select! {
+            biased;
+            () = connections.make_room() => {}
+            () = connections.reduced_to(ClientService::AnswersOnly) => return,
+        }
+        match listener.accept().and_then(|(stream, _)| into_nonblocking(stream)) {
+            Ok(stream) => spawn_connection(stream, gateway, connections),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) => {
+                log!("client listener: cannot accept a queued connection: error={error}");
+                if connections.has_stopped_reading() {
+                    return;
+                }
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
 }
+
+fn into_nonblocking(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
--- a/crates/forwarder/src/client_stream.rs
+++ b/crates/forwarder/src/client_stream.rs
@@ -5,11 +5,12 @@
 //! the largest buffer is reserved, and until then the socket is not read.
 
 use crate::client_connections::{MemoryReservation, RegisteredConnection};
+use crate::request_progress::{MAX_READ_AHEAD_BYTES, MAX_READ_BYTES, RequestProgress};
 use bytes::BufMut;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -17,42 +18,6 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Longest head of a request, and most bytes that hyper reads ahead.
-pub(crate) const MAX_READ_AHEAD_BYTES: usize = 32 << 10;
-/// Bytes of a head that every connection may have.
-const FREE_HEAD_BYTES: usize = 4 << 10;
-/// Most bytes of one read. A read that filled hyper's buffer of 8 KiB would have it doubled.
-const MAX_READ_BYTES: usize = (8 << 10) - 1;
-
-/// How much of the next request's head has been read.
-#[derive(Debug, Default)]
-pub(crate) struct HeadProgress {
-    is_parsed: Cell<bool>,
-    bytes: Cell<usize>,
-}
-
-impl HeadProgress {
-    /// Records that the head has been parsed, so that what follows is the body.
-    pub(crate) fn on_parsed(&self) {
-        self.is_parsed.set(true);
-    }
-
-    /// Records that the request is answered, so that what follows is the next head.
-    pub(crate) fn on_answered(&self) {
-        self.is_parsed.set(false);
-        self.bytes.set(0);
-    }
-
-    fn on_read(&self, bytes: usize) {
-        self.bytes.set(self.bytes.get() + bytes);
-    }
-
-    /// Returns how many more bytes may be read without a reservation.
-    fn free_bytes(&self) -> usize {
-        if self.is_parsed.get() { MAX_READ_BYTES } else { FREE_HEAD_BYTES.saturating_sub(self.bytes.get()) }
-    }
-}
-
 /// Requests that a connection may begin before others have their turn, as long as its bytes do not run out.
 const MAX_REQUESTS_PER_TURN: usize = 1;
 
@@ -80,13 +45,13 @@
 /// The socket of a client connection.
 pub(crate) struct ClientStream {
     stream: Rc<TcpStream>,
-    head: Rc<HeadProgress>,
+    progress: Rc<RequestProgress>,
     turns: Rc<RequestTurns>,
     connection: Rc<RegisteredConnection>,
     growth: HeadGrowth,
 }
 
-/// The memory for a read buffer that has grown beyond [`FREE_HEAD_BYTES`].
+/// The memory for a read buffer that has grown beyond what every connection may have.
 enum HeadGrowth {
     None,
     Waiting(Pin<Box<dyn Future<Output = MemoryReservation>>>),
@@ -99,11 +64,11 @@
 impl ClientStream {
     pub(crate) fn new(
         stream: Rc<TcpStream>,
-        head: Rc<HeadProgress>,
+        progress: Rc<RequestProgress>,
         turns: Rc<RequestTurns>,
         connection: Rc<RegisteredConnection>,
     ) -> Self {
-        ClientStream { stream, head, turns, connection, growth: HeadGrowth::None }
+        ClientStream { stream, progress, turns, connection, growth: HeadGrowth::None }
     }
 
     fn poll_write_with(
@@ -112,10 +77,36 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(context))?;
+            let Poll::Ready(ready) = self.stream.poll_write_ready(context) else {
+                self.progress.set_write_blocked(true);
+                return Poll::Pending;
+            };
+            ready?;
             match write(&self.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    self.progress.set_write_blocked(false);
+                    return Poll::Ready(written);
+                }
+            }
+        }
+    }
+
+    /// Reads what has arrived, whether or not the runtime knows of it. Returns `None` if nothing has.
+    fn read_arrived(&self, buffer: &mut ReadBuf<'_>, max_bytes: usize) -> io::Result<Option<()>> {
+        let before = buffer.filled().len();
+        let length = buffer.remaining().min(max_bytes);
+        let socket = SockRef::from(&*self.stream);
+        loop {
+            match (&*socket).read(buffer.initialize_unfilled_to(length)) {
+                Ok(bytes) => {
+                    buffer.advance(bytes);
+                    self.progress.on_read(&buffer.filled()[before..]);
+                    return Ok(Some(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
             }
         }
     }
@@ -140,11 +131,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut max_bytes = self.head.free_bytes();
+        let mut max_bytes = self.progress.free_bytes();
         if max_bytes == 0 {
             ready!(self.poll_grow(context));
             max_bytes = MAX_READ_BYTES;
         }
+        if self.progress.reads_without_readiness()
+            && !self.connection.is_reset()
+            && self.read_arrived(buffer, max_bytes)?.is_some()
+        {
+            return Poll::Ready(Ok(()));
+        }
         loop {
             let Poll::Ready(ready) = self.stream.poll_read_ready(context) else {
                 self.turns.on_wait();
@@ -154,9 +151,10 @@
             if self.connection.is_reset() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
             }
+            let before = buffer.filled().len();
             match self.stream.try_read_buf(&mut (&mut *buffer).limit(max_bytes)) {
-                Ok(bytes) => {
-                    self.head.on_read(bytes);
+                Ok(_) => {
+                    self.progress.on_read(&buffer.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/forwarder/src/effects.rs
+++ b/crates/forwarder/src/effects.rs
@@ -76,6 +76,7 @@
             Effect::RemoveJournal { generation } => self.other_journals.remove(generation),
             Effect::HandOffClients => self.hand_off_clients(),
             Effect::StopAccepting => self.client_connections.shut_down(),
+            Effect::StopReading => self.client_connections.stop_reading(),
             Effect::Exit => self.exit_requested = true,
         }
         None
--- a/crates/forwarder/src/input.rs
+++ b/crates/forwarder/src/input.rs
@@ -120,6 +120,11 @@
         /// `true` if it connected, `false` if it disconnected.
         connected: bool,
     },
+    /// A connected client has been sent everything that it is owed, and no further request of it is read. Each connection
+    /// reports this once, before it disconnects.
+    ClientServed,
+    /// The listener for clients is closed, and all connections that waited in its queue have been reported.
+    ListenerClosed,
     /// No message may be accepted now, because it cannot be found out what other processes on the folder have accepted.
     AdmissionBlocked,
     /// The process now accepts connections of clients.
@@ -345,6 +350,8 @@
     HandOffClients,
     /// Accept no new connections, and close each client connection once its requests are answered.
     StopAccepting,
+    /// Read no more from clients. Answer each request that has arrived whole, and refuse those that have arrived in part.
+    StopReading,
     /// End the process.
     Exit,
 }
--- a/crates/forwarder/src/reducer/mod.rs
+++ b/crates/forwarder/src/reducer/mod.rs
@@ -115,6 +115,8 @@
             Input::Submitted { request, message } => self.submit(now, request, message),
             Input::Withdrawn { request } => self.withdraw(request),
             Input::ClientConnection { connected } => self.clients.on_connection(connected),
+            Input::ClientServed => self.clients.on_served(),
+            Input::ListenerClosed => self.clients.on_listener_closed(),
             Input::Appended { append, stored, size } => self.on_appended(now, append, stored, size),
             Input::ConnectionUp { connection } => self.on_connection_up(now, connection),
             Input::AdmissionBlocked => self.reject_undecided(),
@@ -155,7 +157,7 @@
     pub fn wake_at(&self) -> Option<Micros> {
         let round = self.has_round_pending().then(|| self.next_round_at());
         let offers = self.handovers.wake_at().filter(|_| !self.upgrade.has_handed_off());
-        let shutdown = self.shutdown.as_ref().map(|state| state.wake_at(self.clients.connected()));
+        let shutdown = self.shutdown.as_ref().map(|state| state.wake_at(&self.clients));
         let due = [
             round,
             self.controller.next_timer_at(),
@@ -190,8 +192,12 @@
         self.messages.has_undecided()
     }
 
+    /// Returns when the next round is due. Once nothing more is read from clients, messages that clients wait for are
+    /// decided on without waiting for the next tick.
     fn next_round_at(&self) -> Micros {
-        self.controller.last_round_at() + self.settings.tick
+        let has_stopped_reading = self.shutdown.as_ref().is_some_and(ShutdownState::has_stopped_reading);
+        let is_urgent = has_stopped_reading && self.messages.has_undecided();
+        self.controller.last_round_at() + if is_urgent { 0 } else { self.settings.tick }
     }
 
     /// Runs one controller round over the events since the last one and carries out its actions.
--- a/crates/forwarder/src/reducer/upgrade.rs
+++ b/crates/forwarder/src/reducer/upgrade.rs
@@ -403,7 +403,7 @@
     /// Records that this process accepts clients. From now on, the older process may be asked to end.
     pub(super) fn accept_clients(&mut self) {
         self.append_record(&Record::ProcessStage { stage: ProcessStage::Ready });
-        self.clients.set_accepted(true);
+        self.clients.on_listening();
         self.upgrade.set_ready();
         self.record_deferred_list();
     }
@@ -433,7 +433,8 @@
         }
         self.upgrade.stage = ProcessStage::HandedOff;
         self.update_own_share();
-        self.clients.set_accepted(false);
+        self.clients.on_accepting_stopped();
+        self.clients.on_listener_closed();
         self.effects.push(Effect::HandOffClients);
         self.drop_unrecorded_calls();
         let endpoints: Vec<_> = self.endpoints.ids().collect();
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -29,7 +29,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Limit on the time to deregister from the fleet at the end of the process.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
@@ -129,7 +129,9 @@
         step(&mut runner, &mut reducer, &mut received).await;
     }
     if let Some(policy) = &policy {
-        drop(timeout(DEREGISTER_TIMEOUT, policy.deregister()).await);
+        let exit_by = reducer.exit_by().map(|at| runner.clock.instant(at));
+        let give_up_at = Instant::now() + DEREGISTER_TIMEOUT;
+        drop(timeout_at(exit_by.map_or(give_up_at, |at| at.min(give_up_at)), policy.deregister()).await);
     }
     log!("ends");
     Ok(())
--- a/crates/forwarder/tests/closes.rs
+++ b/crates/forwarder/tests/closes.rs
@@ -53,11 +53,26 @@
         loop {
             match timeout(TEST_TIMEOUT, self.inputs.recv()).await.expect("a request arrives in time") {
                 Some(Input::Submitted { request: request_id, message }) => return (message.id, request_id),
-                other => assert!(matches!(other, Some(Input::ClientConnection { .. })), "{other:?}"),
+                other => assert!(is_about_connections(other.as_ref()), "{other:?}"),
             }
         }
     }
 
+    /// Waits for the next input that is about a request.
+    async fn next_request_input(&mut self) -> Input {
+        loop {
+            let input = timeout(TEST_TIMEOUT, self.inputs.recv()).await.expect("an input arrives in time");
+            if let Some(input) = input.filter(|input| !is_about_connections(Some(input))) {
+                return input;
+            }
+        }
+    }
+
+    /// Returns whether the inputs that have arrived include the report that nothing is owed to a client.
+    fn has_reported_served(&mut self) -> bool {
+        std::iter::from_fn(|| self.inputs.try_recv().ok()).any(|input| matches!(input, Input::ClientServed))
+    }
+
     async fn accept_next(&mut self, message_id: &str) {
         let (submitted, request_id) = self.next_submission().await;
         assert_eq!(submitted, message_id);
@@ -77,6 +92,10 @@
     }
 }
 
+fn is_about_connections(input: Option<&Input>) -> bool {
+    matches!(input, Some(Input::ClientConnection { .. } | Input::ClientServed | Input::ListenerClosed))
+}
+
 fn run(test: impl Future<Output = ()>) {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().expect("the runtime starts");
@@ -134,6 +153,10 @@
         .is_ok_and(|text| text.starts_with("HTTP/1.1 202") && text.matches("HTTP/1.1").count() == 1)
 }
 
+fn is_refused_once(text: &str) -> bool {
+    text.starts_with("HTTP/1.1 503") && text.matches("HTTP/1.1").count() == 1
+}
+
 // Guards against a shutdown that closes the connection of a request that waits for the journal or the reducer. The
 // client would not get its answer.
 #[test]
@@ -150,27 +173,118 @@
     });
 }
 
-// Guards against accepting a request whose answer takes longer than the second that a shutdown allows. Its connection
-// is closed by then, so the client would never learn of the acceptance.
+// Guards against accepting a request whose answer takes longer than the second that a shutdown allows, and against
+// closing its connection with no answer at all, after which its client cannot know that it may send the request again.
 #[test]
-fn cut_request_is_withdrawn() {
+fn overdue_request_is_withdrawn_and_refused() {
     run(async {
         let mut forwarder = TestForwarder::new(8);
         let client = client(forwarder.address, &request("a", ""));
         let (_, request_id) = forwarder.next_submission().await;
         forwarder.connections.shut_down();
-        let withdrawn =
-            timeout(TEST_TIMEOUT, forwarder.inputs.recv()).await.expect("the request is withdrawn in time");
+        let withdrawn = forwarder.next_request_input().await;
         assert!(
-            matches!(withdrawn, Some(Input::Withdrawn { request: other }) if other == request_id),
+            matches!(withdrawn, Input::Withdrawn { request: other } if other == request_id),
             "{withdrawn:?}"
         );
         forwarder.gateway.answer(request_id, SubmitAnswer::Accepted);
-        assert_eq!(
-            read_to_close(client).await.expect("the connection is not reset"),
-            "",
-            "the late answer is not sent"
-        );
+        let text = read_to_close(client).await.expect("the connection is not reset");
+        assert!(is_refused_once(&text), "the late answer is not sent: {text}");
+    });
+}
+
+// Guards against the end of reading in a shutdown that closes the connection of a request of which a part has arrived,
+// in its head or in its body, with no answer (issue 63). Its client sends the rest at once.
+#[test]
+fn partial_request_is_refused_at_the_end_of_reading() {
+    let text = request("a", "");
+    for cut_at in [1, 40, text.len() - 5, text.len() - 1] {
+        for rest_is_sent in [false, true] {
+            run(async {
+                let mut forwarder = TestForwarder::new(8);
+                let mut client = client(forwarder.address, &request("first", ""));
+                forwarder.accept_next("first").await;
+                wait_for_answer(&client).await;
+                client.write_all(&text.as_bytes()[..cut_at]).expect("the write succeeds");
+                forwarder.connections.shut_down();
+                // Until the end of reading, the rest may arrive.
+                sleep(AFTER_LAST_BYTES_TIMEOUT).await;
+                forwarder.connections.stop_reading();
+                let copy = client.try_clone().expect("the socket call succeeds");
+                let answers = read_to_close(copy).await.expect("the connection is not reset");
+                let (_, answer) = answers.rsplit_once("HTTP/1.1 ").expect("an answer");
+                assert!(answer.starts_with("503"), "cut at {cut_at}: {answers}");
+                if rest_is_sent {
+                    client.write_all(&text.as_bytes()[cut_at..]).expect("the connection is not reset");
+                }
+                drop(client);
+                assert!(forwarder.next_submission_before_close().await.is_none(), "cut at {cut_at}");
+            });
+        }
+    }
+}
+
+// Guards against the end of reading in a shutdown that leaves unread what has come in time (issue 63). The rest of the
+// request is on the socket, and the runtime has not been told of it yet.
+#[test]
+fn rest_that_came_before_the_end_of_reading_is_read_and_answered() {
+    let text = request("a", "");
+    for cut_at in [0, 40, text.len() - 1] {
+        run(async {
+            let mut forwarder = TestForwarder::new(8);
+            let mut client = client(forwarder.address, &text[..cut_at]);
+            sleep(Duration::from_millis(20)).await;
+            client.write_all(&text.as_bytes()[cut_at..]).expect("the write succeeds");
+            forwarder.connections.shut_down();
+            forwarder.connections.stop_reading();
+            forwarder.accept_next("a").await;
+            let response = read_to_close(client).await;
+            assert!(is_accepted_once(&response), "cut at {cut_at}: {response:?}");
+        });
+    }
+}
+
+// Guards against a connection that reports that nothing is owed to its client before the answer is written. The process
+// exits upon that report (issue 63).
+#[test]
+fn connection_is_served_only_once_its_answer_is_written() {
+    run(async {
+        let mut forwarder = TestForwarder::new(8);
+        let client = client(forwarder.address, &request("a", ""));
+        let (_, request_id) = forwarder.next_submission().await;
+        forwarder.connections.shut_down();
+        forwarder.connections.stop_reading();
+        sleep(Duration::from_millis(20)).await;
+        assert!(!forwarder.has_reported_served(), "the answer is not decided");
+        forwarder.gateway.answer(request_id, SubmitAnswer::Accepted);
+        while !forwarder.has_reported_served() {
+            tokio::task::yield_now().await;
+        }
+        client.set_nonblocking(true).expect("the socket call succeeds");
+        let mut bytes = [0; 12];
+        (&client).read_exact(&mut bytes).expect("the answer is there");
+        assert_eq!(&bytes, b"HTTP/1.1 202");
+    });
+}
+
+// Guards against connections in the listener's queue that a shutdown resets because all places are taken. They are
+// accepted as others close.
+#[test]
+fn connections_in_the_queue_of_a_full_listener_are_answered_in_shutdown() {
+    run(async {
+        let mut forwarder = TestForwarder::new(2);
+        let address = forwarder.address;
+        let waiting: Vec<_> =
+            (0..8).map(|number| client(address, &request(&number.to_string(), ""))).collect();
+        forwarder.connections.shut_down();
+        for _ in 0..waiting.len() {
+            let (_, request_id) = forwarder.next_submission().await;
+            forwarder.gateway.answer(request_id, SubmitAnswer::Accepted);
+        }
+        for client in waiting {
+            let response = read_to_close(client).await;
+            assert!(is_accepted_once(&response), "{response:?}");
+        }
     });
 }
 
--- a/crates/forwarder/tests/common/processes.rs
+++ b/crates/forwarder/tests/common/processes.rs
@@ -341,7 +341,8 @@
                 };
                 return self.sends_whole_lists.then_some(Input::WatchEvent { watch, event });
             }
-            Effect::Log { .. } | Effect::ReloadConfig | Effect::StopAccepting | Effect::Exit => {}
+            Effect::StopAccepting => return Some(Input::ListenerClosed),
+            Effect::Log { .. } | Effect::ReloadConfig | Effect::StopReading | Effect::Exit => {}
         }
         None
     }
--- a/crates/forwarder/tests/common/world.rs
+++ b/crates/forwarder/tests/common/world.rs
@@ -96,6 +96,7 @@
     /// The id of each submission that was rejected because another message has the same id.
     pub ids_in_use: Vec<String>,
     pub stopped_accepting: bool,
+    pub stopped_reading: bool,
     pub exited: bool,
     /// Whether the journal was compacted since it was last checked.
     pub compacted: bool,
@@ -171,6 +172,7 @@
             rejected_requests: 0,
             ids_in_use: Vec::new(),
             stopped_accepting: false,
+            stopped_reading: false,
             exited: false,
             compacted: false,
             started_up: false,
@@ -306,6 +308,9 @@
                 unreachable!("there is no other process in these tests")
             }
             Effect::StopAccepting => assert!(!std::mem::replace(&mut self.stopped_accepting, true)),
+            Effect::StopReading => {
+                assert!(self.stopped_accepting && !std::mem::replace(&mut self.stopped_reading, true));
+            }
             Effect::Exit => self.exited = true,
         }
         None
@@ -567,7 +572,8 @@
         }
         self.pending_requests.clear();
         (self.written_messages, self.rejected_requests) = (0, 0);
-        (self.posting, self.stopped_accepting, self.exited) = (None, false, false);
+        self.posting = None;
+        (self.stopped_accepting, self.stopped_reading, self.exited) = (false, false, false);
         self.now += SECOND;
         self.retry_after_until.clear();
         if self.shape == Shape::Second {
--- a/crates/forwarder/tests/reducer_submissions.rs
+++ b/crates/forwarder/tests/reducer_submissions.rs
@@ -45,7 +45,8 @@
     world.submit("b".to_owned(), true, 2, 10);
     world.wait(10_000);
     assert!(world.messages["b"].accepted);
-    // The client's connection lingers until the process exits.
+    // The client has its answer. Its connection lingers until the process exits.
+    world.input(Input::ClientServed);
     world.wait(160_000);
     assert!(world.exited && world.now - START < 3_600_000);
     world.restart();
@@ -54,6 +55,79 @@
     assert_eq!(owed, [("a".to_owned(), FinalAnswer::Failed)]);
 }
 
+/// Returns a process in which a client is connected, 3.49 s after SIGTERM.
+fn world_near_the_end_of_reading() -> World {
+    let mut world = World::new();
+    world.input(Input::ClientConnection { connected: true });
+    world.step(0, Step::Terminate);
+    world.wait(3_490_000);
+    assert!(world.stopped_accepting && !world.stopped_reading && !world.exited);
+    world
+}
+
+// Guards against a shutdown that exits by its clock while a request that was read in time waits for its decision, so
+// that the client gets no answer (issue 63).
+#[test]
+fn exit_waits_for_requests_read_in_the_last_moment() {
+    let mut world = world_near_the_end_of_reading();
+    world.wait(15_000);
+    assert!(world.stopped_reading && !world.exited);
+    // The connection finds this request on its socket as it reads for the last time.
+    world.submit("a".to_owned(), true, 2, 10);
+    // Shorter than a tick: the decision does not wait for the next one.
+    world.wait(1_000);
+    assert!(world.messages["a"].accepted && !world.exited, "the answer is decided and not yet written");
+    world.wait(100_000);
+    assert!(!world.exited, "the answer is not written yet");
+    world.input(Input::ClientServed);
+    world.wait(40_000);
+    assert!(!world.exited, "the client has no time to read its answer and to close");
+    world.wait(10_000);
+    assert!(world.exited);
+}
+
+// Guards against an exit that a connection delays until the process is killed, 3.7 s after SIGTERM.
+#[test]
+fn exit_does_not_wait_for_an_answer_beyond_the_kill() {
+    let mut world = world_near_the_end_of_reading();
+    world.wait(180_000);
+    assert!(!world.exited, "the client is still owed its answer");
+    world.wait(10_000);
+    assert!(world.exited);
+}
+
+// Guards against a stall before the end of reading after which the process exits without reading once more what came in
+// time (issue 63). Also guards against a stall that delays the exit beyond the kill, 3.7 s after SIGTERM.
+#[test]
+fn stall_over_the_end_of_reading_is_followed_by_a_last_read() {
+    let mut world = world_near_the_end_of_reading();
+    world.now += 150_000;
+    world.input(Input::TimerDue);
+    assert!(world.stopped_reading && !world.exited);
+    world.submit("a".to_owned(), true, 2, 10);
+    world.wait(1_000);
+    assert!(world.messages["a"].accepted && !world.exited);
+    world.input(Input::ClientServed);
+    world.input(Input::ClientConnection { connected: false });
+    assert!(world.exited);
+}
+
+// Guards against an exit while connections wait in the listener's queue, whose requests may have come in time.
+#[test]
+fn exit_waits_until_the_listener_is_closed() {
+    let mut world = World::new();
+    world.input(Input::AcceptingClients);
+    world.step(0, Step::Terminate);
+    world.wait(700_000);
+    assert!(world.stopped_accepting && !world.exited);
+    world.input(Input::ClientConnection { connected: true });
+    world.input(Input::ListenerClosed);
+    assert!(!world.exited, "a client that waited in the queue is connected");
+    world.input(Input::ClientServed);
+    world.input(Input::ClientConnection { connected: false });
+    assert!(world.exited);
+}
+
 // Guards against a deployment without tenants that accepts nothing, against a message that is accepted without a header
 // that its class or deployment requires, and against an incomplete request that counts as a final answer.
 #[test]
--- /dev/null
+++ b/tests/shutdown_requests.rs
@@ -0,0 +1,55 @@
+//! Tests of the program being shut down while clients use their connections until it ends. Requests arrive in parts
+//! around the end of the process. Each that is whole before its connection closes has an answer, and each accepted
+//! message has one end.
+
+use orchidyoke_fakes::shutdown_requests::{ShutdownScenario, Stall};
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+/// Scenarios that run side by side.
+const PARALLEL_RUNS: usize = 4;
+
+fn check(name: &str, scenario: &ShutdownScenario) {
+    let report = scenario.run(Path::new(env!("CARGO_BIN_EXE_orchidyoke")), name);
+    let violations = report.violations();
+    assert!(violations.is_empty(), "{violations:?}\n{scenario:?}\n{report:?}");
+}
+
+/// Checks scenarios, some of them side by side.
+fn check_all(name: &str, scenarios: &[ShutdownScenario]) {
+    for (batch_number, batch) in scenarios.chunks(PARALLEL_RUNS).enumerate() {
+        thread::scope(|scope| {
+            for (number, scenario) in batch.iter().enumerate() {
+                scope.spawn(move || check(&format!("{name}-{batch_number}-{number}"), scenario));
+            }
+        });
+    }
+}
+
+// Guards against an exit by the clock alone, which cuts requests that have just been read, decided or answered
+// (issue 63, `review/3`).
+#[test]
+fn requests_whole_just_before_the_exit_are_answered() {
+    check("last-bytes", &ShutdownScenario::new(1));
+}
+
+// Guards against a stall of the process over the end of the shutdown, after which it exits with requests unread that
+// came in time.
+#[test]
+fn requests_that_came_in_a_stall_before_the_exit_are_answered() {
+    let stalls = [(3_400, 150), (3_470, 100), (3_470, 150), (3_500, 150)];
+    let scenarios = stalls.map(|(at, length)| ShutdownScenario {
+        stall: Some(Stall { at: Duration::from_millis(at), length: Duration::from_millis(length) }),
+        ..ShutdownScenario::new(at)
+    });
+    check_all("stall", &scenarios);
+}
+
+// Guards against any other order of requests, parts, stalls and signals in a shutdown that leaves a request without
+// its answer or a message without its end. The longer run is the experiment `shutdown-requests`.
+#[test]
+fn requests_in_random_shutdowns_are_answered() {
+    let scenarios: Vec<_> = (1..=16).map(ShutdownScenario::draw).collect();
+    check_all("random", &scenarios);
+}
