Answer a request whose head is arriving as its idle connection reaches its time-out

What callers saw: a client that rested 2 s on its connection and then sent a request in two parts, cut in the head, got no answer if the time-out of the idle connection (2.1 s) fell between the parts: the connection was closed. Nothing told the client whether it may send the request again.

Cause: hyper's time for a head counts from the end of the last answer, not from the head's first byte, and ends the connection with no answer.

Change: `RequestProgress` knows when the connection came to rest and when the head began. A head has until 2.1 s after the rest began, as before, and at least 250 ms from its first byte; with the 600 ms for a body that stays within the 3 s that bad clients are owed. At the end of that time the connection first reads what the system holds. A request that is whole is answered and the connection goes on; half a head is answered 503, which says that it may be sent again; a connection at rest closes. A connection at rest looks at its socket once more before its sending side is shut down, so that no other task runs between the last look and the close. An evicted connection says `Connection: close` with its last answer.

Why it works: the time-out no longer decides on a request; it only ends the wait, and what the system holds is read first.

`malformed_requests_are_rejected_and_closed` expected no answer to `POST /sta` and silence; it expects the 503 now, so it is as strict.

--- a/crates/forwarder/src/client_close.rs
+++ b/crates/forwarder/src/client_close.rs
@@ -15,6 +15,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, Wake, Waker};
@@ -39,10 +40,9 @@
     matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
 }
 
-/// Answers or refuses what the client has sent, and ends the HTTP side of the connection.
+/// Ends the HTTP side of a connection. In a shutdown, a request that has begun to arrive may arrive whole before.
 pub(crate) async fn close(client: &ClientConnection, connection: &mut HttpConnection) -> hyper::Result<()> {
-    client.progress.read_without_readiness();
-    if let Some(served) = process_arrived(connection).await {
+    if let Some(served) = process_arrived(client, connection).await {
         return served;
     }
     if client.progress.stage() != RequestStage::Idle {
@@ -51,10 +51,19 @@
             served = poll_fn(|context| connection.poll_without_shutdown(context)) => return served,
             () = reading_ends(client) => {}
         }
-        if let Some(served) = process_arrived(connection).await {
+        if let Some(served) = process_arrived(client, connection).await {
             return served;
         }
     }
+    close_at_once(client, connection).await
+}
+
+/// Ends the HTTP side of a connection on which everything that has arrived is processed. Answers a whole request, and
+/// refuses one that has arrived in part.
+pub(crate) async fn close_at_once(
+    client: &ClientConnection,
+    connection: &mut HttpConnection,
+) -> hyper::Result<()> {
     match client.progress.stage() {
         RequestStage::Idle => {}
         RequestStage::ReadingHead => {
@@ -63,7 +72,7 @@
         }
         RequestStage::AwaitingAnswer => client.registered.stop_receiving(),
     }
-    std::pin::Pin::new(&mut *connection).graceful_shutdown();
+    Pin::new(&mut *connection).graceful_shutdown();
     send_last_answer(client, connection).await
 }
 
@@ -87,21 +96,36 @@
     }
 }
 
-/// Polls a connection until everything that had arrived on its socket is processed as far as it can be without a
-/// further event. Returns the result if the connection has ended. The socket has to be read without readiness.
-async fn process_arrived(connection: &mut HttpConnection) -> Option<hyper::Result<()>> {
-    loop {
+/// Polls a connection until everything that has arrived on its socket is processed as far as it can be without a further
+/// event. Returns the result if the connection has ended.
+pub(crate) async fn process_arrived(
+    client: &ClientConnection,
+    connection: &mut HttpConnection,
+) -> Option<hyper::Result<()>> {
+    client.progress.set_reads_without_readiness(true);
+    let served = loop {
         let flag = Arc::new(WakeFlag::default());
         let waker = Waker::from(flag.clone());
         if let Poll::Ready(served) = connection.poll_without_shutdown(&mut Context::from_waker(&waker)) {
-            return Some(served);
+            break Some(served);
         }
         // Wakes that the runtime has put off arrive during this.
         tokio::task::yield_now().await;
-        if !flag.is_woken.load(Ordering::Relaxed) {
-            return None;
+        let is_quiet = !flag.is_woken.load(Ordering::Relaxed);
+        if is_quiet && !has_unread_request(client) {
+            break None;
         }
-    }
+    };
+    client.progress.set_reads_without_readiness(false);
+    served
+}
+
+/// Returns whether bytes of a further request have arrived while other tasks ran. Behind an unwritten answer, they are
+/// not read.
+fn has_unread_request(client: &ClientConnection) -> bool {
+    client.progress.stage() == RequestStage::Idle
+        && !client.progress.is_write_blocked()
+        && has_arrived_bytes(&client.stream)
 }
 
 /// Answers a request whose head has arrived in part.
--- a/crates/forwarder/src/client_connection.rs
+++ b/crates/forwarder/src/client_connection.rs
@@ -3,7 +3,7 @@
 //! The module `client_close` holds what the forwarder does when it ends a connection.
 
 use crate::client_api::{ClientGateway, ClientGone, respond};
-use crate::client_close::{close, has_arrived_bytes, linger};
+use crate::client_close::{close, close_at_once, has_arrived_bytes, linger, process_arrived};
 use crate::client_connections::{ClientConnections, ClientService, RegisteredConnection};
 use crate::client_stream::{ClientStream, RequestTurns};
 use crate::input::Input;
@@ -16,7 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::Service;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::error::Error;
 use std::future::{Future, poll_fn};
@@ -25,12 +25,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::timeout;
 
-/// Limit on the time until a request's head has arrived, from the connection's start or the last answer. Together
-/// with the limit for a body, it gives a client its answer or its close within 3 s of connecting. It exceeds the 2 s
-/// for which a client may rely on an idle connection.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(2_100);
 /// In a shutdown, limit on the time until the first bytes of a new connection have arrived.
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -40,7 +36,6 @@
     pub(crate) registered: Rc<RegisteredConnection>,
     pub(crate) progress: Rc<RequestProgress>,
     gateway: Rc<ClientGateway>,
-    opened_at: Instant,
     turns: Rc<RequestTurns>,
     is_served: Cell<bool>,
 }
@@ -54,7 +49,6 @@
             stream,
             progress: Rc::default(),
             gateway,
-            opened_at: Instant::now(),
             turns: Rc::default(),
             is_served: Cell::new(false),
         })
@@ -75,8 +69,7 @@
         self.progress.on_parsed();
         self.turns.begin_request().await;
         let mut response = respond(&self.gateway, request, &self.registered).await?;
-        let connections = self.connections();
-        if connections.is_handing_over() || connections.is_shutting_down() {
+        if self.registered.is_closing() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         self.progress.on_answered();
@@ -97,14 +90,6 @@
             }
         }
     }
-
-    /// Waits until the head of the first request is overdue. Never ends once the head has arrived.
-    async fn first_head_overdue(&self) {
-        sleep_until(self.opened_at + HEAD_TIMEOUT).await;
-        if self.progress.has_had_request() {
-            std::future::pending::<()>().await;
-        }
-    }
 }
 
 impl Drop for ClientConnection {
@@ -157,7 +142,7 @@
         biased;
         () = first_bytes(&client.stream) => true,
         () = client.close_requested() => has_arrived_bytes(&client.stream),
-        () = client.first_head_overdue() => false,
+        () = client.progress.head_overdue() => has_arrived_bytes(&client.stream),
     };
     if has_bytes {
         Box::pin(serve_requests(client)).await;
@@ -174,19 +159,24 @@
 
 async fn serve_requests(client: &Rc<ClientConnection>) {
     let mut connection = http_connection(client);
-    let served = tokio::select! {
-        biased;
-        served = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(served),
-        () = client.close_requested() => None,
-        () = client.first_head_overdue() => Some(Ok(())),
-    };
-    let served = match served {
-        Some(served) => served,
-        None => close(client, &mut connection).await,
+    let served = loop {
+        tokio::select! {
+            biased;
+            served = poll_fn(|context| connection.poll_without_shutdown(context)) => break served,
+            () = client.close_requested() => break close(client, &mut connection).await,
+            () = client.progress.head_overdue() => {
+                if let Some(served) = process_arrived(client, &mut connection).await {
+                    break served;
+                }
+                // The head, or its first bytes, may have arrived in this instant.
+                if client.progress.is_head_overdue() {
+                    break close_at_once(client, &mut connection).await;
+                }
+            }
+        }
     };
     if let Err(error) = served
         && !error.is_incomplete_message()
-        && !error.is_timeout()
     {
         let cause = error.source().map_or_else(String::new, |source| format!(": {source}"));
         log!(
@@ -204,8 +194,8 @@
         client.registered.clone(),
     );
     http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        // `RequestProgress::head_overdue` limits the time of a head. hyper would close with no answer.
+        .header_read_timeout(None)
         // A client that has shut down its sending side still waits for its answer.
         .half_close(true)
         .max_buf_size(MAX_READ_AHEAD_BYTES)
--- a/crates/forwarder/src/client_connections.rs
+++ b/crates/forwarder/src/client_connections.rs
@@ -134,7 +134,7 @@
         *self.service.borrow() >= ClientService::AnswersOnly
     }
 
-    pub(crate) fn is_handing_over(&self) -> bool {
+    fn is_handing_over(&self) -> bool {
         self.handing_over.get()
     }
 
@@ -281,6 +281,12 @@
         }
     }
 
+    /// Returns whether the connection closes with its next answer.
+    pub(crate) fn is_closing(&self) -> bool {
+        let connections = &self.connections;
+        self.signals.is_closing.get() || connections.is_handing_over() || connections.is_shutting_down()
+    }
+
     /// Ends the wait for the rest of a request.
     pub(crate) fn stop_receiving(&self) {
         self.signals.stop_receiving.notify_one();
--- a/crates/forwarder/src/request_progress.rs
+++ b/crates/forwarder/src/request_progress.rs
@@ -1,6 +1,8 @@
 //! The progress of the current request of a client connection, shared by its socket and its task.
 
 use std::cell::Cell;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
 
 /// Longest head of a request, and most bytes that hyper reads ahead.
 pub(crate) const MAX_READ_AHEAD_BYTES: usize = 32 << 10;
@@ -9,6 +11,13 @@
 /// Bytes of a head that every connection may have.
 const FREE_HEAD_BYTES: usize = 4 << 10;
 
+/// Limit on the time until a request's head has arrived, from the connection's start or the last answer. It exceeds the
+/// 2 s for which a client may rely on an idle connection.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_100);
+/// Time that a head has at least from its first byte. Together with [`HEAD_TIMEOUT`] and the limit for a body, it gives
+/// a client its answer or its close within 3 s of connecting.
+const MIN_HEAD_PERIOD: Duration = Duration::from_millis(250);
+
 /// What a connection owes its client.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum RequestStage {
@@ -22,15 +31,34 @@
 }
 
 /// How much of the current request has been read, and whether it is answered.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RequestProgress {
     stage: Cell<RequestStage>,
+    /// When the connection began, or its last request was answered.
+    idle_since: Cell<Instant>,
+    /// When the first byte of the last request was read.
+    began_at: Cell<Instant>,
     head_bytes: Cell<usize>,
     has_had_request: Cell<bool>,
     is_write_blocked: Cell<bool>,
     reads_without_readiness: Cell<bool>,
 }
 
+impl Default for RequestProgress {
+    fn default() -> Self {
+        let now = Instant::now();
+        RequestProgress {
+            stage: Cell::default(),
+            idle_since: Cell::new(now),
+            began_at: Cell::new(now),
+            head_bytes: Cell::default(),
+            has_had_request: Cell::default(),
+            is_write_blocked: Cell::default(),
+            reads_without_readiness: Cell::default(),
+        }
+    }
+}
+
 impl RequestProgress {
     /// Returns what the connection owes its client.
     pub(crate) fn stage(&self) -> RequestStage {
@@ -51,6 +79,7 @@
     /// Records that the request is answered, so that what follows is the next head.
     pub(crate) fn on_answered(&self) {
         self.stage.set(RequestStage::Idle);
+        self.idle_since.set(Instant::now());
         self.head_bytes.set(0);
     }
 
@@ -59,6 +88,7 @@
         let is_between_requests = self.stage.get() == RequestStage::Idle;
         if is_between_requests && bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n')) {
             self.stage.set(RequestStage::ReadingHead);
+            self.began_at.set(Instant::now());
         }
         self.head_bytes.set(self.head_bytes.get() + bytes.len());
     }
@@ -83,10 +113,34 @@
         self.is_write_blocked.get()
     }
 
-    /// Has each read ask the system itself from now on, because the runtime learns later than the system that bytes
-    /// have arrived.
-    pub(crate) fn read_without_readiness(&self) {
-        self.reads_without_readiness.set(true);
+    /// Returns until when the next head has to arrive; `None` if it has.
+    pub(crate) fn head_deadline(&self) -> Option<Instant> {
+        let deadline = self.idle_since.get() + HEAD_TIMEOUT;
+        match self.stage.get() {
+            RequestStage::Idle => Some(deadline),
+            RequestStage::ReadingHead => Some(deadline.max(self.began_at.get() + MIN_HEAD_PERIOD)),
+            RequestStage::AwaitingAnswer => None,
+        }
+    }
+
+    /// Returns whether the next head should have arrived by now.
+    pub(crate) fn is_head_overdue(&self) -> bool {
+        self.head_deadline().is_some_and(|deadline| deadline <= Instant::now())
+    }
+
+    /// Waits until the next head is overdue.
+    pub(crate) async fn head_overdue(&self) {
+        while !self.is_head_overdue() {
+            // While a request awaits its answer, the next head cannot be due before this.
+            let next_look = self.head_deadline().unwrap_or_else(|| Instant::now() + HEAD_TIMEOUT);
+            sleep_until(next_look).await;
+        }
+    }
+
+    /// Sets whether each read asks the system itself, because the runtime learns later than the system that bytes have
+    /// arrived.
+    pub(crate) fn set_reads_without_readiness(&self, reads_without_readiness: bool) {
+        self.reads_without_readiness.set(reads_without_readiness);
     }
 
     /// Returns whether each read asks the system itself.
--- a/crates/forwarder/tests/closes.rs
+++ b/crates/forwarder/tests/closes.rs
@@ -396,6 +396,84 @@
     });
 }
 
+/// Time on an idle connection shortly before its time-out (2.1 s).
+const NEARLY_IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Longer than the rest of that time-out, and shorter than the time that a head has from its first byte (250 ms).
+const OVER_IDLE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time from connecting within which a client is owed its answer or its close.
+const END_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Returns a client whose connection is idle and nearly at its time-out, and on which the first bytes of a request are
+/// written. The forwarder has not closed the connection: it does not run between the look and the write.
+async fn client_with_late_head(forwarder: &mut TestForwarder, first_bytes: &str) -> TcpStream {
+    loop {
+        let mut client = client(forwarder.address, &request("first", ""));
+        forwarder.accept_next("first").await;
+        wait_for_answer(&client).await;
+        client.read_exact(&mut [0; 1]).expect("the answer is there");
+        while client.read(&mut [0; 4096]).is_ok_and(|count| count > 0) {}
+        sleep(NEARLY_IDLE_TIMEOUT).await;
+        // A stalled test may be late. It begins again then.
+        if client.peek(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock) {
+            client.write_all(first_bytes.as_bytes()).expect("the write succeeds");
+            return client;
+        }
+    }
+}
+
+// Guards against the time-out of an idle connection that closes it with no answer while a request is arriving, because
+// its head is incomplete in that instant.
+#[test]
+fn head_that_begins_before_the_idle_time_out_is_read_to_its_end() {
+    run(async {
+        let mut forwarder = TestForwarder::new(8);
+        let text = request("a", "");
+        let (first, rest) = text.split_at(40);
+        let mut client = client_with_late_head(&mut forwarder, first).await;
+        sleep(OVER_IDLE_TIMEOUT).await;
+        client.write_all(rest.as_bytes()).expect("the write succeeds");
+        let submitted = forwarder.next_submission_before_close().await;
+        if let Some(Input::Submitted { request: request_id, .. }) = submitted {
+            forwarder.gateway.answer(request_id, SubmitAnswer::Accepted);
+        }
+        drop(client.shutdown(std::net::Shutdown::Write));
+        let response = read_to_close(client).await.expect("the connection is not reset");
+        // A test that stalls sends the rest late. Its request is refused then.
+        assert!(is_accepted_once(&Ok(response.clone())) || is_refused_once(&response), "{response:?}");
+    });
+}
+
+// Guards against a client that stops within the head of a request and gets neither an answer nor a close within 3 s.
+#[test]
+fn head_that_does_not_end_is_refused_in_time() {
+    run(async {
+        let mut forwarder = TestForwarder::new(8);
+        let connected_at = tokio::time::Instant::now();
+        let client = client(forwarder.address, &request("a", "")[..40]);
+        let text = read_to_close(client).await.expect("the connection is not reset");
+        assert!(connected_at.elapsed() < END_TIMEOUT, "{:?}", connected_at.elapsed());
+        assert!(is_refused_once(&text), "{text}");
+        assert!(forwarder.next_submission_before_close().await.is_none());
+    });
+}
+
+// Guards against an eviction that closes a connection with no answer while the head of a request is arriving.
+#[test]
+fn partial_head_is_refused_when_its_connection_is_evicted() {
+    run(async {
+        let mut forwarder = TestForwarder::new(16);
+        let mut evicted = client(forwarder.address, &request("first", ""));
+        forwarder.accept_next("first").await;
+        wait_for_answer(&evicted).await;
+        evicted.write_all(&request("a", "").as_bytes()[..40]).expect("the write succeeds");
+        let others: Vec<_> = (0..16).map(|_| client(forwarder.address, "")).collect();
+        let text = read_to_close(evicted).await.expect("the connection is not reset");
+        let (_, answer) = text.rsplit_once("HTTP/1.1 ").expect("an answer");
+        assert!(answer.starts_with("503"), "{text}");
+        drop(others);
+    });
+}
+
 // Guards against resetting connections that are in the backlog, not yet accepted, when a shutdown ends accepting.
 #[test]
 fn connections_in_the_backlog_are_answered_in_shutdown() {
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -384,7 +384,7 @@
         format!("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n{hidden}");
     let cases = [
         (String::new(), 0, ""),
-        ("POST /sta".to_owned(), 0, ""),
+        ("POST /sta".to_owned(), 0, "503"),
         (format!("{head}Content-Length: 100\r\n\r\nhalf"), 0, "408"),
         (format!("{head}Content-Length: -5\r\n\r\n"), 0, "400"),
         (format!("{head}Content-Length: 99999999999999999999999\r\n\r\n"), 0, "400"),
