Write the replies of console commands that were read before the process ends

What callers saw: an operator's command in the moment in which the forwarder ended after SIGTERM got no reply; its connection ended.

`serve` left its loop with the reply decided and the connection's task not run again, or with the command in the channel of inputs, which nobody read any more.

Change: at the exit the console rejects what has no reply yet ("the forwarder ends"), and the process waits until all replies are written, 50 ms and the shutdown's last resort at most. Beside it runs the deregistration from the fleet, as before.

Why it works: a reply is due from the moment in which its line is complete (`DueReply`), and the process ends when none is.

Test: `commands_that_were_read_get_a_reply_before_the_process_ends` (needs `ConsoleGateway::finish`, so it does not compile on the code before).

--- a/crates/forwarder/src/console_listener.rs
+++ b/crates/forwarder/src/console_listener.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, spawn_local};
@@ -37,6 +38,10 @@
     incomplete: RefCell<BTreeMap<RequestId, AbortHandle>>,
     open_connections: Cell<usize>,
     next_request: Cell<RequestId>,
+    /// Connections whose line is complete and whose reply is not written yet.
+    replies_due: Cell<usize>,
+    reply_ended: Notify,
+    is_ending: Cell<bool>,
 }
 
 impl ConsoleGateway {
@@ -48,6 +53,9 @@
             incomplete: RefCell::default(),
             open_connections: Cell::new(0),
             next_request: Cell::new(0),
+            replies_due: Cell::new(0),
+            reply_ended: Notify::new(),
+            is_ending: Cell::new(false),
         })
     }
 
@@ -58,12 +66,25 @@
         }
     }
 
+    /// Has every command that has no reply yet rejected, because the reducer processes no more inputs. Waits until all
+    /// replies are written.
+    pub async fn finish(&self) {
+        self.is_ending.set(true);
+        self.waiting.borrow_mut().clear();
+        while self.replies_due.get() > 0 {
+            self.reply_ended.notified().await;
+        }
+    }
+
     async fn submit(&self, request: RequestId, command: Command) -> ConsoleReply {
+        if self.is_ending.get() {
+            return ending_reply();
+        }
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(request, sender);
         // The channel is closed only when the forwarder ends.
         let _ = self.inputs.send(Input::Operator { request, call: command });
-        receiver.await.unwrap_or_else(|_| ConsoleReply::Rejected("the forwarder ends".to_owned()))
+        receiver.await.unwrap_or_else(|_| ending_reply())
     }
 
     /// Closes the oldest connections with an incomplete line until there is room for one more.
@@ -91,6 +112,29 @@
     }
 }
 
+fn ending_reply() -> ConsoleReply {
+    ConsoleReply::Rejected("the forwarder ends".to_owned())
+}
+
+/// A reply that is due until this value is dropped.
+struct DueReply {
+    gateway: Rc<ConsoleGateway>,
+}
+
+impl DueReply {
+    fn new(gateway: &Rc<ConsoleGateway>) -> Self {
+        gateway.replies_due.set(gateway.replies_due.get() + 1);
+        DueReply { gateway: gateway.clone() }
+    }
+}
+
+impl Drop for DueReply {
+    fn drop(&mut self) {
+        self.gateway.replies_due.set(self.gateway.replies_due.get().saturating_sub(1));
+        self.gateway.reply_ended.notify_one();
+    }
+}
+
 /// An open connection. It counts as open until this value is dropped, which also happens when its task panics.
 struct ConsoleConnection {
     gateway: Rc<ConsoleGateway>,
@@ -134,13 +178,19 @@
 async fn serve(mut stream: TcpStream, connection: ConsoleConnection) {
     let Ok(command) = timeout(LINE_TIMEOUT, read_command(&mut stream)).await else { return };
     connection.on_line_complete();
+    let due = DueReply::new(&connection.gateway);
     let reply = match command {
         Some(Ok(command)) => connection.gateway.submit(connection.request, command).await,
         Some(Err(error)) => error.into(),
         None => return,
     };
     // An error here is ignored: a reply that the client does not read needs no further handling.
-    let _ = timeout(REPLY_TIMEOUT, write_reply(&mut stream, &reply.to_string())).await;
+    let ended = timeout(REPLY_TIMEOUT, async {
+        write_reply(&mut stream, &reply.to_string()).await?;
+        drop(due);
+        discard(&mut stream).await
+    });
+    drop(ended.await);
 }
 
 /// Reads one command, or the reason why the line is not one. Returns `None` if the client has closed before its line
@@ -157,11 +207,14 @@
     }
 }
 
-/// Writes the reply and discards what the client still sends, because a close with unread bytes would reset the
-/// connection and could lose the reply.
 async fn write_reply(stream: &mut TcpStream, reply: &str) -> io::Result<()> {
     stream.write_all(reply.as_bytes()).await?;
-    stream.shutdown().await?;
+    stream.shutdown().await
+}
+
+/// Discards what the client still sends, because a close with unread bytes would reset the connection and could lose the
+/// reply.
+async fn discard(stream: &mut TcpStream) -> io::Result<()> {
     let mut chunk = [0; 4096];
     let mut bytes_left = MAX_DISCARDED_BYTES;
     while bytes_left > 0 {
--- a/crates/forwarder/src/console_listener/tests.rs
+++ b/crates/forwarder/src/console_listener/tests.rs
@@ -48,3 +48,30 @@
         })
         .await;
 }
+
+// Guards against the end of the process with commands that were read and get no reply, or a reply that was decided and is
+// not written (issue 63).
+#[tokio::test(flavor = "current_thread")]
+async fn commands_that_were_read_get_a_reply_before_the_process_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds to a port");
+    let address = listener.local_addr().expect("has a local address");
+    let (inputs, mut received) = unbounded_channel();
+    let console = ConsoleGateway::new(inputs);
+    let local = LocalSet::new();
+    local.spawn_local(listen(listener, console.clone()));
+    local
+        .run_until(async {
+            let decided = spawn_local(send(address, b"ready\n"));
+            let Some(Input::Operator { request, .. }) = received.recv().await else { panic!("a command") };
+            let undecided = spawn_local(send(address, b"ready\n"));
+            assert!(matches!(received.recv().await, Some(Input::Operator { .. })));
+            console.reply(request, ConsoleReply::Done("ready"));
+            assert_eq!(console.replies_due.get(), 2);
+            console.finish().await;
+            assert_eq!(console.replies_due.get(), 0, "the replies are written");
+            assert_eq!(decided.await.expect("the client ends"), "200 ready\n");
+            assert_eq!(undecided.await.expect("the client ends"), "400 the forwarder ends\n");
+            assert_eq!(send(address, b"ready\n").await, "400 the forwarder ends\n");
+        })
+        .await;
+}
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -33,6 +33,8 @@
 
 /// Limit on the time to deregister from the fleet at the end of the process.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Limit on the time to write the last replies of the console at the end of the process.
+const LAST_REPLIES_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// The reason why a forwarder could not start.
 #[derive(Debug, Error)]
@@ -128,15 +130,32 @@
     while !runner.exit_requested {
         step(&mut runner, &mut reducer, &mut received).await;
     }
-    if let Some(policy) = &policy {
-        let exit_by = reducer.exit_by().map(|at| runner.clock.instant(at));
-        let give_up_at = Instant::now() + DEREGISTER_TIMEOUT;
-        drop(timeout_at(exit_by.map_or(give_up_at, |at| at.min(give_up_at)), policy.deregister()).await);
-    }
+    let exit_by = reducer.exit_by().map(|at| runner.clock.instant(at));
+    end_operations(&runner, policy.as_deref(), exit_by).await;
     log!("ends");
     Ok(())
 }
 
+/// Ends what the process has begun besides the work of the reducer: writes the replies of the console, and deregisters
+/// from the fleet. Gives up at `exit_by`.
+async fn end_operations(
+    runner: &EffectRunner,
+    policy: Option<&dyn PolicyParticipant>,
+    exit_by: Option<Instant>,
+) {
+    let limited_by = |limit: Duration| {
+        let give_up_at = Instant::now() + limit;
+        exit_by.map_or(give_up_at, |at| at.min(give_up_at))
+    };
+    let replies = timeout_at(limited_by(LAST_REPLIES_TIMEOUT), runner.console.finish());
+    let deregistered = async {
+        if let Some(policy) = policy {
+            drop(timeout_at(limited_by(DEREGISTER_TIMEOUT), policy.deregister()).await);
+        }
+    };
+    drop(tokio::join!(replies, deregistered));
+}
+
 /// Opens the journal and restores the reducer from it. With `expects_others`, other processes may start on the folder.
 fn open(
     config: Config,
