Test shutdowns of upgrades and of idle processes in the shutdown scenario

The early exit of an idle process as clients connect, and the end of a predecessor beside its successor, are the same fault's related paths and had no test with parts of requests.

Change: `ShutdownScenario` has a kind. In an upgrade the successor shares the socket and clients connect again; an idle process gets clients that connect around its exit.

--- a/crates/experiments/src/shutdown_requests.rs
+++ b/crates/experiments/src/shutdown_requests.rs
@@ -63,6 +63,7 @@
     ExperimentReport {
         columns: vec![
             "seed",
+            "kind",
             "clients",
             "last bytes ms",
             "stall",
@@ -113,6 +114,7 @@
     let signals = scenario.signals.iter().map(|signal| format!("{} at {:?}", signal.name, signal.at));
     vec![
         scenario.seed.to_string(),
+        format!("{:?}", scenario.kind),
         scenario.clients.to_string(),
         format!("{:?}", scenario.last_bytes_ms),
         stall.unwrap_or_default(),
--- a/crates/fakes/src/shutdown_requests.rs
+++ b/crates/fakes/src/shutdown_requests.rs
@@ -8,4 +8,4 @@
 
 pub use client::{RequestEnd, RequestRecord};
 pub use report::ShutdownReport;
-pub use scenario::{ShutdownScenario, Stall, TimedSignal};
+pub use scenario::{ShutdownKind, ShutdownScenario, Stall, TimedSignal};
--- a/crates/fakes/src/shutdown_requests/client.rs
+++ b/crates/fakes/src/shutdown_requests/client.rs
@@ -54,55 +54,93 @@
     pub completes_at: Instant,
 }
 
+/// Which requests a client sends.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum ClientPlan {
+    /// One request after another, and a last one in two parts at these times.
+    UntilLastRequest(LastRequest),
+    /// One request after another until this time. Then the client closes its connection.
+    Until(Instant),
+    /// Only one request, on a connection that is made at its beginning.
+    Only(LastRequest),
+}
+
 /// The parameters of a client.
 #[derive(Clone, Debug)]
 pub(super) struct Client {
     pub name: String,
     pub seed: u64,
     pub address: SocketAddr,
-    pub last_request: LastRequest,
+    pub plan: ClientPlan,
     /// Whether its bodies may have up to 64 KiB.
     pub has_large_bodies: bool,
+    /// Whether it connects again when the forwarder has closed its connection.
+    pub reconnects: bool,
 }
 
 impl Client {
-    /// Sends requests until the connection is closed. Returns what became of each.
+    /// Sends requests until the plan is over, or the forwarder cannot be reached. Returns what became of each.
     pub fn run(self) -> Vec<RequestRecord> {
         let mut records = Vec::new();
         let mut random = Rng::with_seed(self.seed);
-        let Ok(mut stream) = TcpStream::connect(self.address) else { return records };
-        if stream.set_nodelay(true).is_err() || stream.set_read_timeout(Some(ANSWER_TIMEOUT)).is_err() {
-            return records;
+        if let ClientPlan::Only(request) = self.plan {
+            sleep_until(request.begins_at);
         }
+        let Some(mut stream) = self.connect() else { return records };
         for number in 0.. {
-            let is_last =
-                Instant::now() + Duration::from_millis(PART_PAUSE_MS.end) > self.last_request.begins_at;
-            let record = self.send(&mut stream, &mut random, number, is_last);
-            let is_open = matches!(record.end, RequestEnd::Status(_));
+            let now = Instant::now();
+            let last_request = match self.plan {
+                ClientPlan::Only(request) => Some(request),
+                ClientPlan::UntilLastRequest(request) => {
+                    (now + Duration::from_millis(PART_PAUSE_MS.end) > request.begins_at).then_some(request)
+                }
+                ClientPlan::Until(end) if now >= end => return records,
+                ClientPlan::Until(_) => None,
+            };
+            let record = self.send(&mut stream, &mut random, number, last_request);
+            let is_answered = matches!(record.end, RequestEnd::Status(_));
             records.push(record);
-            if !is_open || (is_last && Instant::now() > self.last_request.completes_at) {
-                break;
+            let is_over = last_request.is_some_and(|request| Instant::now() > request.completes_at);
+            if is_over || (!is_answered && !self.reconnects) {
+                return records;
             }
-            if !is_last {
+            if last_request.is_none() {
                 thread::sleep(Duration::from_millis(random.u64(..MAX_REQUEST_PAUSE_MS)));
             }
+            if self.reconnects && !is_quiet(&stream) {
+                let Some(next) = self.connect() else { return records };
+                stream = next;
+            }
         }
         records
     }
 
-    fn send(&self, stream: &mut TcpStream, random: &mut Rng, number: usize, is_last: bool) -> RequestRecord {
+    fn connect(&self) -> Option<TcpStream> {
+        let stream = TcpStream::connect(self.address).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
+        Some(stream)
+    }
+
+    fn send(
+        &self,
+        stream: &mut TcpStream,
+        random: &mut Rng,
+        number: usize,
+        last_request: Option<LastRequest>,
+    ) -> RequestRecord {
         let is_order = random.bool();
         let message_id = format!("{}-{number}", self.name);
         let text = self.request(random, &message_id, is_order);
         let cut_at = random.usize(1..text.len());
-        let is_cut = is_last || random.bool();
+        let is_cut = last_request.is_some() || random.bool();
         let (first, rest) = text.split_at(if is_cut { cut_at } else { 0 });
-        if is_last {
-            sleep_until(self.last_request.begins_at);
+        if let Some(LastRequest { begins_at, .. }) = last_request {
+            sleep_until(begins_at);
         }
         let mut written = stream.write_all(first);
-        if is_last {
-            sleep_until(self.last_request.completes_at);
+        if let Some(LastRequest { completes_at, .. }) = last_request {
+            sleep_until(completes_at);
         } else if is_cut {
             thread::sleep(Duration::from_millis(random.u64(PART_PAUSE_MS)));
         }
--- a/crates/fakes/src/shutdown_requests/scenario.rs
+++ b/crates/fakes/src/shutdown_requests/scenario.rs
@@ -1,12 +1,13 @@
 //! Runs one forwarder, its clients, and what falls into its shutdown.
 
-use super::client::{Client, LastRequest, MESSAGE_LIFETIME_S, RequestRecord};
+use super::client::{Client, ClientPlan, LastRequest, MESSAGE_LIFETIME_S, RequestRecord};
 use super::report::{ShutdownReport, TERMINATION_GRACE, unfinished};
 use crate::destination::{CapacityModel, DestinationServer};
 use crate::forwarder::{ForwarderConfig, ForwarderProcess, endpoint_entry};
 use crate::signal::send_signal;
 use crate::{DiscoveryServer, TemporaryFolder};
 use fastrand::Rng;
+use std::net::{SocketAddr, TcpListener};
 use std::ops::Range;
 use std::path::Path;
 use std::thread::{self, JoinHandle};
@@ -18,6 +19,10 @@
 const WARM_UP: Duration = Duration::from_millis(500);
 /// Time from SIGKILL to the next start.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// Shortest pause between the parts of a last request.
+const MIN_LAST_PAUSE: Duration = Duration::from_millis(5);
+/// Clients that connect as an idle process is about to end.
+const IDLE_CLIENTS: usize = 6;
 /// Interval at which the end of the process and of the messages is looked for.
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// Time after the last deadline in which a notification may still arrive.
@@ -49,11 +54,24 @@
     pub name: &'static str,
 }
 
+/// What goes on beside the shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShutdownKind {
+    /// Clients use their connections until the end.
+    Restart,
+    /// The same, and a successor is ready on the same socket, as in an upgrade. Clients connect to it.
+    Upgrade,
+    /// The clients have left, and others connect as the process is about to end because it has nothing to do.
+    Idle,
+}
+
 /// The parameters of a run.
 #[derive(Clone, Debug)]
 pub struct ShutdownScenario {
     /// Seed of the clients.
     pub seed: u64,
+    /// What goes on beside the shutdown.
+    pub kind: ShutdownKind,
     /// Number of clients with a connection each.
     pub clients: usize,
     /// Time in which the last requests begin, in milliseconds after SIGTERM.
@@ -75,6 +93,7 @@
     pub fn new(seed: u64) -> Self {
         ShutdownScenario {
             seed,
+            kind: ShutdownKind::Restart,
             clients: 60,
             last_requests_begin_ms: 3_170..3_200,
             last_bytes_ms: 3_470..3_520,
@@ -85,9 +104,25 @@
         }
     }
 
+    /// Returns a run in which a few clients connect as the process is about to end because it has nothing to do.
+    pub fn idle(seed: u64) -> Self {
+        ShutdownScenario {
+            kind: ShutdownKind::Idle,
+            clients: IDLE_CLIENTS,
+            last_requests_begin_ms: 490..580,
+            last_bytes_ms: 500..620,
+            ..ShutdownScenario::new(seed)
+        }
+    }
+
     /// Draws the parameters of a run from its seed.
     pub fn draw(seed: u64) -> Self {
         let mut random = Rng::with_seed(seed);
+        let drawn = match random.u8(..8) {
+            0 => return ShutdownScenario::idle(seed),
+            1 => ShutdownKind::Upgrade,
+            _ => ShutdownKind::Restart,
+        };
         let first_byte = random.u64(3_050..3_240);
         let last_byte = random.u64(3_250..3_520);
         let stall = Stall {
@@ -101,6 +136,7 @@
         let signals = signals.collect();
         ShutdownScenario {
             seed,
+            kind: drawn,
             clients: random.usize(20..100),
             last_requests_begin_ms: first_byte..first_byte + random.u64(1..50),
             last_bytes_ms: last_byte..last_byte + random.u64(1..60),
@@ -117,9 +153,15 @@
             DestinationServer::new(CapacityModel { service_time: SERVICE_TIME, ..CapacityModel::default() });
         let discovery = DiscoveryServer::start("");
         let folder = self.folder(name, &destination, &discovery);
-        let mut forwarder = ForwarderProcess::start(program, &folder, &[]);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds to a port");
+        let start = || match self.kind {
+            ShutdownKind::Upgrade => ForwarderProcess::start_with_listener(program, &folder, &listener).0,
+            ShutdownKind::Restart | ShutdownKind::Idle => ForwarderProcess::start(program, &folder, &[]),
+        };
+        let mut forwarder = start();
+        let successor = (self.kind == ShutdownKind::Upgrade).then(start);
         let terminated_at = Instant::now() + WARM_UP;
-        let clients = self.start_clients(&forwarder, name, terminated_at);
+        let clients = self.start_clients(forwarder.address, name, terminated_at);
         let signals = self.start_signals(forwarder.pid(), terminated_at);
         let mut report = ShutdownReport::default();
         wait_for_exit(&forwarder, terminated_at, &mut report);
@@ -130,8 +172,10 @@
         let log: Vec<_> = forwarder.log.try_iter().collect();
         report.log = log[log.len().saturating_sub(KEPT_LOG_LINES)..].to_vec();
         drop(forwarder);
-        thread::sleep(RESTART_DELAY);
-        let next = ForwarderProcess::start(program, &folder, &[]);
+        let next = successor.unwrap_or_else(|| {
+            thread::sleep(RESTART_DELAY);
+            start()
+        });
         wait_for_messages(&records, &destination, &discovery);
         drop(next);
         report.add_requests(&records, terminated_at);
@@ -155,7 +199,7 @@
 
     fn start_clients(
         &self,
-        forwarder: &ForwarderProcess,
+        address: SocketAddr,
         name: &str,
         terminated_at: Instant,
     ) -> Vec<JoinHandle<Vec<RequestRecord>>> {
@@ -164,21 +208,30 @@
             let micros = random.u64(range.start * 1_000..range.end * 1_000);
             terminated_at + Duration::from_micros(micros)
         };
-        let mut clients = Vec::new();
-        for number in 0..self.clients {
-            let client = Client {
-                name: format!("{name}-{number}"),
-                seed: self.seed.wrapping_mul(1_000).wrapping_add(number as u64),
-                address: forwarder.address,
-                last_request: LastRequest {
-                    begins_at: after_sigterm(&self.last_requests_begin_ms),
-                    completes_at: after_sigterm(&self.last_bytes_ms),
-                },
-                has_large_bodies: self.has_large_bodies,
-            };
-            clients.push(thread::spawn(move || client.run()));
+        let mut plans = Vec::new();
+        for _ in 0..self.clients {
+            let begins_at = after_sigterm(&self.last_requests_begin_ms);
+            let completes_at = after_sigterm(&self.last_bytes_ms).max(begins_at + MIN_LAST_PAUSE);
+            let last_request = LastRequest { begins_at, completes_at };
+            match self.kind {
+                ShutdownKind::Restart | ShutdownKind::Upgrade => {
+                    plans.push(ClientPlan::UntilLastRequest(last_request));
+                }
+                ShutdownKind::Idle => {
+                    plans.push(ClientPlan::Until(terminated_at));
+                    plans.push(ClientPlan::Only(last_request));
+                }
+            }
         }
-        clients
+        let clients = plans.into_iter().enumerate().map(|(number, plan)| Client {
+            name: format!("{name}-{number}"),
+            seed: self.seed.wrapping_mul(1_000).wrapping_add(number as u64),
+            address,
+            plan,
+            has_large_bodies: self.has_large_bodies,
+            reconnects: self.kind == ShutdownKind::Upgrade,
+        });
+        clients.map(|client| thread::spawn(move || client.run())).collect()
     }
 
     /// Sends SIGTERM and all other signals in their order.
--- a/tests/shutdown_requests.rs
+++ b/tests/shutdown_requests.rs
@@ -2,7 +2,7 @@
 //! around the end of the process. Each that is whole before its connection closes has an answer, and each accepted
 //! message has one end.
 
-use orchidyoke_fakes::shutdown_requests::{ShutdownScenario, Stall};
+use orchidyoke_fakes::shutdown_requests::{ShutdownKind, ShutdownScenario, Stall};
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
@@ -46,6 +46,22 @@
     check_all("stall", &scenarios);
 }
 
+// Guards against the end of a process that has nothing to do, as clients connect to it: a request that is read on a new
+// connection and gets no answer is lost too.
+#[test]
+fn clients_that_connect_as_an_idle_process_ends_are_answered() {
+    let scenarios: Vec<_> = (1..=4).map(ShutdownScenario::idle).collect();
+    check_all("idle", &scenarios);
+}
+
+// Guards against a predecessor of an upgrade that ends with requests unanswered on the connections that it still has.
+#[test]
+fn requests_around_the_end_of_a_predecessor_are_answered() {
+    let scenarios =
+        (1..=2).map(|seed| ShutdownScenario { kind: ShutdownKind::Upgrade, ..ShutdownScenario::new(seed) });
+    check_all("upgrade", &scenarios.collect::<Vec<_>>());
+}
+
 // Guards against any other order of requests, parts, stalls and signals in a shutdown that leaves a request without
 // its answer or a message without its end. The longer run is the experiment `shutdown-requests`.
 #[test]
