End the last read of a connection with a poll that finds nothing, without peeking

Cause: `process_arrived` looked for further bytes with a peek after its last poll, only on a connection at rest. A peek is a second way to ask the system, with flags that nothing else here uses, and bytes that came to a half request while other tasks ran were not asked for.

Change: the last read ends after two polls in a row that read nothing and wake nothing, with a yield between them and none after. Whether a client that has been silent has sent something is asked by a read of no bytes, as the runtime does. The experiment `shutdown-stalls` stops the process for 50, 100 and 150 ms at each 10 ms from 3.2 to 3.55 s after SIGTERM, ten processes at once.

--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -63,7 +63,7 @@
     run: fn(&RunOptions) -> Result<ExperimentReport, ExperimentError>,
 }
 
-const EXPERIMENTS: [Experiment; 14] = [
+const EXPERIMENTS: [Experiment; 15] = [
     Experiment {
         name: "capacity-forwarder",
         shows: "one forwarder's cost by destinations listed and messages waiting, as lines, against the aims",
@@ -142,6 +142,12 @@
         sabotage: "each process is stopped until its time is over",
         run: shutdown_requests::run,
     },
+    Experiment {
+        name: "shutdown-stalls",
+        shows: "the same with a stall of 50, 100 or 150 ms at each 10 ms of the end, ten forwarders at once",
+        sabotage: "each process is stopped until its time is over",
+        run: shutdown_requests::run_stalls,
+    },
     Experiment {
         name: "capacity-control",
         shows: "50, 150 and 450 forwarders without traffic: what control costs at rest, with changes and restarts, in losses",
--- a/crates/experiments/src/shutdown_requests.rs
+++ b/crates/experiments/src/shutdown_requests.rs
@@ -1,18 +1,29 @@
 //! `shutdown-requests`: clients use their connections until a forwarder ends, with requests that arrive in parts around
 //! that moment, amid stalls and further signals. Each request and each message is checked by the rules on lost and
 //! repeated messages, and each shutdown by the time that it may take.
+//!
+//! `shutdown-requests` draws each run from its seed. `shutdown-stalls` stops the process at each moment of the last part
+//! of its shutdown.
 
 use crate::error::ExperimentError;
 use crate::options::RunOptions;
 use crate::report::{Chart, ChartSeries, ExperimentReport};
 use orchidyoke_fakes::shutdown_requests::{ShutdownReport, ShutdownScenario, Stall};
 use serde_json::json;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
-/// Runs side by side.
+/// Runs of `shutdown-requests` side by side.
 const PARALLEL_RUNS: usize = 4;
+/// Runs of `shutdown-stalls` side by side.
+const PARALLEL_STALLS: usize = 10;
+/// When stalls begin, in milliseconds after SIGTERM, and the interval between two of them.
+const STALLS_BEGIN_MS: RangeInclusive<u64> = 3_200..=3_550;
+const STALL_INTERVAL_MS: usize = 10;
+/// Lengths of a stall, in milliseconds.
+const STALL_LENGTHS_MS: [u64; 3] = [50, 100, 150];
 /// The stall under sabotage, over the end of the grace period.
 const SABOTAGE_STALL: Stall = Stall { at: Duration::from_millis(3_400), length: Duration::from_millis(400) };
 
@@ -21,15 +32,34 @@
 /// Runs a scenario for each seed. Under sabotage each process is stopped until its time is over, and every run must
 /// report that.
 pub fn run(options: &RunOptions) -> Result<ExperimentReport, ExperimentError> {
-    let scenarios = (options.seed..options.seed + options.seeds).map(|seed| {
-        let drawn = ShutdownScenario::draw(seed);
-        let stall = if options.sabotage { Some(SABOTAGE_STALL) } else { drawn.stall };
-        ShutdownScenario { stall, ..drawn }
-    });
-    let scenarios: Vec<_> = scenarios.collect();
+    let seeds = options.seed..options.seed + options.seeds;
+    run_all(options, seeds.map(ShutdownScenario::draw).collect(), PARALLEL_RUNS)
+}
+
+/// Runs a scenario for each stall. Under sabotage as [`run`].
+pub fn run_stalls(options: &RunOptions) -> Result<ExperimentReport, ExperimentError> {
+    let mut scenarios = Vec::new();
+    for at_ms in STALLS_BEGIN_MS.step_by(STALL_INTERVAL_MS) {
+        for length_ms in STALL_LENGTHS_MS {
+            let stall = Stall { at: Duration::from_millis(at_ms), length: Duration::from_millis(length_ms) };
+            let seed = options.seed + scenarios.len() as u64;
+            scenarios.push(ShutdownScenario { stall: Some(stall), ..ShutdownScenario::new(seed) });
+        }
+    }
+    run_all(options, scenarios, PARALLEL_STALLS)
+}
+
+fn run_all(
+    options: &RunOptions,
+    mut scenarios: Vec<ShutdownScenario>,
+    parallel_runs: usize,
+) -> Result<ExperimentReport, ExperimentError> {
+    if options.sabotage {
+        scenarios.iter_mut().for_each(|scenario| scenario.stall = Some(SABOTAGE_STALL));
+    }
     let program = options.program()?;
     let mut runs = Vec::new();
-    for batch in scenarios.chunks(PARALLEL_RUNS) {
+    for batch in scenarios.chunks(parallel_runs) {
         runs.extend(run_batch(&program, batch)?);
         eprintln!("shutdown-requests: {} of {} runs done", runs.len(), scenarios.len());
     }
--- a/crates/forwarder/src/client_close.rs
+++ b/crates/forwarder/src/client_close.rs
@@ -12,8 +12,7 @@
 use crate::request_progress::RequestStage;
 use socket2::SockRef;
 use std::future::poll_fn;
-use std::io;
-use std::mem::MaybeUninit;
+use std::io::{self, Read};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -35,9 +34,11 @@
 const PARTIAL_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// Returns whether bytes of the client wait on the socket. Asks the system, because the runtime learns of them later.
+/// Returns whether the client has sent something, or has closed the connection. Asks the system, because the runtime
+/// learns of it later.
 pub(crate) fn has_arrived_bytes(stream: &TcpStream) -> bool {
-    matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
+    // A read of no bytes fails like any other if there is nothing to read.
+    (&*SockRef::from(stream)).read(&mut []).is_ok()
 }
 
 /// Ends the HTTP side of a connection. In a shutdown, a request that has begun to arrive may arrive whole before.
@@ -97,37 +98,33 @@
 }
 
 /// Polls a connection until everything that has arrived on its socket is processed as far as it can be without a further
-/// event. Returns the result if the connection has ended.
+/// event. Returns the result if the connection has ended. The last poll finds nothing to read, and no other task runs
+/// after it.
 pub(crate) async fn process_arrived(
     client: &ClientConnection,
     connection: &mut HttpConnection,
 ) -> Option<hyper::Result<()>> {
     client.progress.set_reads_without_readiness(true);
+    let mut is_settled = false;
     let served = loop {
         let flag = Arc::new(WakeFlag::default());
         let waker = Waker::from(flag.clone());
+        let bytes_before = client.progress.bytes_read();
         if let Poll::Ready(served) = connection.poll_without_shutdown(&mut Context::from_waker(&waker)) {
             break Some(served);
         }
-        // Wakes that the runtime has put off arrive during this.
-        tokio::task::yield_now().await;
-        let is_quiet = !flag.is_woken.load(Ordering::Relaxed);
-        if is_quiet && !has_unread_request(client) {
+        let is_quiet = client.progress.bytes_read() == bytes_before && !flag.is_woken.load(Ordering::Relaxed);
+        if is_quiet && is_settled {
             break None;
         }
+        is_settled = is_quiet;
+        // What the poll has begun may go on only after other tasks.
+        tokio::task::yield_now().await;
     };
     client.progress.set_reads_without_readiness(false);
     served
 }
 
-/// Returns whether bytes of a further request have arrived while other tasks ran. Behind an unwritten answer, they are
-/// not read.
-fn has_unread_request(client: &ClientConnection) -> bool {
-    client.progress.stage() == RequestStage::Idle
-        && !client.progress.is_write_blocked()
-        && has_arrived_bytes(&client.stream)
-}
-
 /// Answers a request whose head has arrived in part.
 async fn refuse_partial_head(client: &ClientConnection) {
     log!("request refused, its head is incomplete: client={}", client.registered.id());
--- a/crates/forwarder/src/request_progress.rs
+++ b/crates/forwarder/src/request_progress.rs
@@ -39,6 +39,7 @@
     /// When the first byte of the last request was read.
     began_at: Cell<Instant>,
     head_bytes: Cell<usize>,
+    bytes_read: Cell<u64>,
     has_had_request: Cell<bool>,
     is_write_blocked: Cell<bool>,
     reads_without_readiness: Cell<bool>,
@@ -52,6 +53,7 @@
             idle_since: Cell::new(now),
             began_at: Cell::new(now),
             head_bytes: Cell::default(),
+            bytes_read: Cell::default(),
             has_had_request: Cell::default(),
             is_write_blocked: Cell::default(),
             reads_without_readiness: Cell::default(),
@@ -91,6 +93,12 @@
             self.began_at.set(Instant::now());
         }
         self.head_bytes.set(self.head_bytes.get() + bytes.len());
+        self.bytes_read.set(self.bytes_read.get() + bytes.len() as u64);
+    }
+
+    /// Returns how many bytes of all requests have been read.
+    pub(crate) fn bytes_read(&self) -> u64 {
+        self.bytes_read.get()
     }
 
     /// Returns how many more bytes may be read without a reservation.
