Linger 30 ms after the last answer, and write answers decided at the last resort

What would have been seen: a process that noticed SIGTERM 150 ms late, because it was stalled, and had requests in progress until the end of reading would have ended 3.70 s after SIGTERM, at the kill.

Cause: 3.5 s, 50 ms of lingering and a stall of 150 ms add up to 3.7 s; and the loop ended in the step that asked for the exit.

Change: 30 ms of lingering. The exit is a stage of its own, asked for once; if a client is still owed an answer then, the loop goes on for 10 ms at most.

--- a/crates/forwarder/src/reducer/mod.rs
+++ b/crates/forwarder/src/reducer/mod.rs
@@ -157,7 +157,7 @@
     pub fn wake_at(&self) -> Option<Micros> {
         let round = self.has_round_pending().then(|| self.next_round_at());
         let offers = self.handovers.wake_at().filter(|_| !self.upgrade.has_handed_off());
-        let shutdown = self.shutdown.as_ref().map(|state| state.wake_at(&self.clients));
+        let shutdown = self.shutdown.as_ref().and_then(|state| state.wake_at(&self.clients));
         let due = [
             round,
             self.controller.next_timer_at(),
--- a/crates/forwarder/src/reducer/shutdown.rs
+++ b/crates/forwarder/src/reducer/shutdown.rs
@@ -30,8 +30,9 @@
 /// Longest time from the end of accepting clients until nothing more is read from them, and shortest time until the
 /// exit if any of them is still connected.
 const LAST_REQUESTS_US: Micros = READ_PERIOD_US - ACCEPT_PERIOD_US;
-/// Time after the last answer for clients to read it and close.
-const LINGER_US: Micros = 50_000;
+/// Time after the last answer for clients to read it and close. After a stall of 150 ms at SIGTERM it still ends before
+/// the kill.
+const LINGER_US: Micros = 30_000;
 /// Shortest time from the end of accepting clients until the exit.
 const LAST_CALLS_US: Micros = 50_000;
 
@@ -44,6 +45,8 @@
     LastRequests { stopped_accepting_at: Micros },
     /// Nothing more is read from clients.
     LastAnswers { stopped_accepting_at: Micros },
+    /// The process exits.
+    Exiting { stopped_accepting_at: Micros },
 }
 
 impl Stage {
@@ -51,9 +54,9 @@
     fn stopped_accepting_at(self) -> Option<Micros> {
         match self {
             Stage::Accepting => None,
-            Stage::LastRequests { stopped_accepting_at } | Stage::LastAnswers { stopped_accepting_at } => {
-                Some(stopped_accepting_at)
-            }
+            Stage::LastRequests { stopped_accepting_at }
+            | Stage::LastAnswers { stopped_accepting_at }
+            | Stage::Exiting { stopped_accepting_at } => Some(stopped_accepting_at),
         }
     }
 }
@@ -76,7 +79,7 @@
 
     /// Returns whether nothing more is read from clients, so that what they are owed is decided at once.
     pub fn has_stopped_reading(&self) -> bool {
-        matches!(self.stage, Stage::LastAnswers { .. })
+        matches!(self.stage, Stage::LastAnswers { .. } | Stage::Exiting { .. })
     }
 
     /// Returns when the process exits at the latest.
@@ -87,14 +90,15 @@
         stopped_accepting_at.map_or(latest, |stopped_at| latest.min(stopped_at + after_accepting))
     }
 
-    /// Returns when the next step of the shutdown is due.
-    pub fn wake_at(&self, clients: &Clients) -> Micros {
+    /// Returns when the next step of the shutdown is due, or `None` if none is left.
+    pub fn wake_at(&self, clients: &Clients) -> Option<Micros> {
         match self.stage {
-            Stage::Accepting => self.stop_accepting_at(),
+            Stage::Accepting => Some(self.stop_accepting_at()),
             Stage::LastRequests { stopped_accepting_at } => {
-                self.exit_at(clients).min(self.stop_reading_at(stopped_accepting_at))
+                Some(self.exit_at(clients).min(self.stop_reading_at(stopped_accepting_at)))
             }
-            Stage::LastAnswers { .. } => self.exit_at(clients),
+            Stage::LastAnswers { .. } => Some(self.exit_at(clients)),
+            Stage::Exiting { .. } => None,
         }
     }
 
@@ -148,6 +152,11 @@
         self.shutdown.as_ref().map(ShutdownState::exit_by)
     }
 
+    /// Returns whether a client may still be owed an answer.
+    pub fn has_unserved_clients(&self) -> bool {
+        self.clients.unserved() > 0
+    }
+
     /// Carries out the steps of a shutdown that are due.
     pub(super) fn advance_shutdown(&mut self, now: Micros) {
         let is_busy =
@@ -169,14 +178,14 @@
             self.effects.push(Effect::Log { line });
             self.effects.push(Effect::StopReading);
         }
-        if state.stage != Stage::Accepting && now >= state.exit_at(&self.clients) {
-            self.exit();
+        if let Stage::LastRequests { stopped_accepting_at } | Stage::LastAnswers { stopped_accepting_at } =
+            state.stage
+            && now >= state.exit_at(&self.clients)
+        {
+            state.stage = Stage::Exiting { stopped_accepting_at };
+            let (connected, unserved) = (self.clients.connected(), self.clients.unserved());
+            self.log(format!("shutdown: exits: connected={connected} unserved={unserved}"));
+            self.effects.push(Effect::Exit);
         }
     }
-
-    fn exit(&mut self) {
-        let (connected, unserved) = (self.clients.connected(), self.clients.unserved());
-        self.log(format!("shutdown: exits: connected={connected} unserved={unserved}"));
-        self.effects.push(Effect::Exit);
-    }
 }
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -29,10 +29,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// Limit on the time to deregister from the fleet at the end of the process.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Limit on the time to write answers that were decided as the time of the shutdown ended.
+const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(10);
 /// Limit on the time to write the last replies of the console at the end of the process.
 const LAST_REPLIES_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -130,6 +132,12 @@
     while !runner.exit_requested {
         step(&mut runner, &mut reducer, &mut received).await;
     }
+    let last_answers = async {
+        while reducer.has_unserved_clients() {
+            step(&mut runner, &mut reducer, &mut received).await;
+        }
+    };
+    drop(timeout(LAST_WRITES_TIMEOUT, last_answers).await);
     let exit_by = reducer.exit_by().map(|at| runner.clock.instant(at));
     end_operations(&runner, policy.as_deref(), exit_by).await;
     log!("ends");
