Count what became of messages in one place of the fakes, and send SIGKILL by name

Change: MessageRecords holds calls and notifications by message for both; send_signal knows INT and KILL.

--- a/crates/fakes/src/client_crowd/scenario.rs
+++ b/crates/fakes/src/client_crowd/scenario.rs
@@ -5,6 +5,7 @@
 use super::regular_clients::{MESSAGE_LIFETIME_S, RegularClients, RequestEnd, Submission};
 use crate::destination::{CapacityModel, DestinationServer};
 use crate::forwarder::{ForwarderConfig, ForwarderProcess, endpoint_entry};
+use crate::message_records::MessageRecords;
 use crate::{DiscoveryServer, ServerRuntime, TemporaryFolder};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -326,18 +327,14 @@
     destination: &DestinationServer,
     discovery: &DiscoveryServer,
 ) {
-    let mut calls: BTreeMap<String, usize> = BTreeMap::new();
-    for call in destination.calls() {
-        *calls.entry(call.message_id).or_default() += 1;
-    }
-    let notifications = discovery.notifications();
+    let records = MessageRecords::collect(destination, discovery);
     let accepted = submissions.iter().filter(|one| one.end == RequestEnd::Answered(202));
     let accepted = accepted.map(|one| (&one.id, one.is_repeatable));
     let all = accepted.chain(accepted_by_crowd.iter().map(|id| (id, true)));
     for (id, is_repeatable) in all {
         report.accepted += 1;
-        let count = calls.get(id).copied().unwrap_or(0);
-        if count == 0 && !notifications.contains_key(id) {
+        let count = records.call_count(id);
+        if count == 0 && !records.is_notified(id) {
             report.lost.push(id.clone());
         }
         if count > 1 && !is_repeatable {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod forwarder;
 mod line_protocol;
+mod message_records;
 mod runtime;
 pub mod shutdown_requests;
 mod signal;
--- a/crates/fakes/src/shutdown_requests/report.rs
+++ b/crates/fakes/src/shutdown_requests/report.rs
@@ -1,9 +1,8 @@
 //! Judges the requests and messages of a run by the protocol.
 
 use super::client::{RequestEnd, RequestRecord};
-use crate::DiscoveryServer;
-use crate::destination::DestinationServer;
-use std::collections::{BTreeMap, BTreeSet};
+use crate::message_records::MessageRecords;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Time between a last byte and the close that its client saw from which on it is certain that the byte came first.
@@ -100,46 +99,31 @@
     }
 
     /// Adds what became of the messages.
-    pub(super) fn add_messages(
-        &mut self,
-        records: &[RequestRecord],
-        destination: &DestinationServer,
-        discovery: &DiscoveryServer,
-    ) {
-        let mut calls = BTreeMap::<String, usize>::new();
-        for call in destination.calls() {
-            *calls.entry(call.message_id).or_default() += 1;
-        }
-        let unfinished = unfinished(records, destination, discovery);
-        for record in records {
-            let id = &record.message_id;
-            let sent = calls.get(id).copied().unwrap_or(0);
-            let is_accepted = record.end == RequestEnd::Status(202);
-            if is_accepted && unfinished.contains(id) {
-                self.unfinished.push(id.clone());
-            }
-            if !is_accepted && sent > 0 {
-                self.sent_unaccepted.push(id.clone());
+    pub(super) fn add_messages(&mut self, requests: &[RequestRecord], records: &MessageRecords) {
+        self.unfinished = unfinished(requests, records).map(|request| request.message_id.clone()).collect();
+        for request in requests {
+            let calls = records.call_count(&request.message_id);
+            if !is_accepted(request) && calls > 0 {
+                self.sent_unaccepted.push(request.message_id.clone());
             }
-            if record.is_order && sent > 1 {
-                self.sent_again.push(id.clone());
+            if request.is_order && calls > 1 {
+                self.sent_again.push(request.message_id.clone());
             }
         }
     }
 }
 
-/// Returns the accepted messages that have not ended yet.
-pub(super) fn unfinished(
-    records: &[RequestRecord],
-    destination: &DestinationServer,
-    discovery: &DiscoveryServer,
-) -> BTreeSet<String> {
-    let calls = destination.calls();
-    let served: BTreeSet<_> = calls.iter().filter(|call| call.served).map(|call| &call.message_id).collect();
-    let notifications = discovery.notifications();
-    let accepted = records.iter().filter(|record| record.end == RequestEnd::Status(202));
-    let ids = accepted.map(|record| &record.message_id);
-    ids.filter(|id| !served.contains(id) && !notifications.contains_key(*id)).cloned().collect()
+/// Returns the requests whose messages were accepted and have not ended yet.
+pub(super) fn unfinished<'a>(
+    requests: &'a [RequestRecord],
+    records: &'a MessageRecords,
+) -> impl Iterator<Item = &'a RequestRecord> {
+    let has_ended = |id: &str| records.is_delivered(id) || records.is_notified(id);
+    requests.iter().filter(move |request| is_accepted(request) && !has_ended(&request.message_id))
+}
+
+fn is_accepted(request: &RequestRecord) -> bool {
+    request.end == RequestEnd::Status(202)
 }
 
 /// Returns whether the forwarder had read the first part of a request that was whole before the close.
--- a/crates/fakes/src/shutdown_requests/scenario.rs
+++ b/crates/fakes/src/shutdown_requests/scenario.rs
@@ -4,6 +4,7 @@
 use super::report::{ShutdownReport, TERMINATION_GRACE, unfinished};
 use crate::destination::{CapacityModel, DestinationServer};
 use crate::forwarder::{ForwarderConfig, ForwarderProcess, endpoint_entry};
+use crate::message_records::MessageRecords;
 use crate::signal::send_signal;
 use crate::{DiscoveryServer, TemporaryFolder};
 use fastrand::Rng;
@@ -184,7 +185,7 @@
         wait_for_messages(&records, &destination, &discovery);
         drop(next);
         report.add_requests(&records, terminated_at);
-        report.add_messages(&records, &destination, &discovery);
+        report.add_messages(&records, &MessageRecords::collect(&destination, &discovery));
         report
     }
 
@@ -282,7 +283,9 @@
     discovery: &DiscoveryServer,
 ) {
     let deadline = Instant::now() + Duration::from_secs(MESSAGE_LIFETIME_S) + NOTIFICATION_MARGIN;
-    while Instant::now() < deadline && !unfinished(records, destination, discovery).is_empty() {
+    let has_unfinished =
+        || unfinished(records, &MessageRecords::collect(destination, discovery)).next().is_some();
+    while Instant::now() < deadline && has_unfinished() {
         thread::sleep(Duration::from_millis(20));
     }
 }
--- a/crates/fakes/src/signal.rs
+++ b/crates/fakes/src/signal.rs
@@ -8,6 +8,8 @@
     let signal = match name {
         "CONT" => Signal::CONT,
         "HUP" => Signal::HUP,
+        "INT" => Signal::INT,
+        "KILL" => Signal::KILL,
         "STOP" => Signal::STOP,
         "TERM" => Signal::TERM,
         other => panic!("unknown signal {other}"),
